--- /dev/null
+++ b/teaselquay/configuration/__init__.py
@@ -0,0 +1,35 @@
+"""The operators' configuration as typed values, and how routes match."""
+
+from teaselquay.configuration._model import (
+    FleetConfiguration,
+    RequestLimits,
+    RouteKind,
+    RouteRule,
+    ServiceRule,
+    TeamRule,
+    UpstreamRecord,
+    UpstreamState,
+    VmRecord,
+    WeightedService,
+)
+from teaselquay.configuration._routing import (
+    RoutingTable,
+    choose_service,
+    has_dot_segment,
+)
+
+__all__ = (
+    'FleetConfiguration',
+    'RequestLimits',
+    'RouteKind',
+    'RouteRule',
+    'RoutingTable',
+    'ServiceRule',
+    'TeamRule',
+    'UpstreamRecord',
+    'UpstreamState',
+    'VmRecord',
+    'WeightedService',
+    'choose_service',
+    'has_dot_segment',
+)
--- /dev/null
+++ b/teaselquay/configuration/_routing.py
@@ -0,0 +1,88 @@
+"""Selection of the route and the team of a request."""
+
+import hmac
+from random import Random
+from typing import Iterator
+
+from teaselquay.configuration._model import (
+    FleetConfiguration,
+    RouteRule,
+    TeamRule,
+)
+from teaselquay.decisions import ServiceName, hash_key
+
+
+class RoutingTable:
+    """Routes by host and prefix, and teams by key, of one configuration.
+
+    Routes match the octets of the path as they are sent on, without
+    decoding, so that an upstream sees the path that was matched.
+    """
+
+    def __init__(self, configuration: FleetConfiguration) -> None:
+        """Index `configuration`."""
+        self.configuration = configuration
+        self._by_place = {
+            (route.host.lower(), route.prefix): route
+            for route in configuration.routes_by_name.values()
+        }
+        self._team_by_hash = {
+            hash_key(key.encode()): team
+            for team in configuration.teams_by_name.values()
+            for key in team.api_keys
+        }
+
+    @classmethod
+    def from_config(cls, configuration: FleetConfiguration) -> 'RoutingTable':
+        """Return the table of `configuration`."""
+        return cls(configuration)
+
+    def match(self, host: str, path: str) -> RouteRule | None:
+        """Return the route with the longest prefix of `path`."""
+        name = host.lower().partition(':')[0]
+        for prefix in _prefixes(path):
+            route = self._by_place.get((name, prefix))
+            if route is not None:
+                return route
+        return None
+
+    def team_of(self, key: bytes) -> TeamRule | None:
+        """Return the team that holds `key`."""
+        team = self._team_by_hash.get(hash_key(key))
+        if team is None:
+            return None
+        for known in team.api_keys:
+            if hmac.compare_digest(known.encode(), key):
+                return team
+        return None
+
+
+def choose_service(route: RouteRule, random: Random) -> ServiceName:
+    """Return a service of `route`, drawn by weight.
+
+    A share that is short of room is not moved to another service.
+    """
+    weights = [target.weight for target in route.targets]
+    return random.choices(route.targets, weights)[0].service
+
+
+def has_dot_segment(path: str) -> bool:
+    """Return whether an upstream may resolve `path` to another one.
+
+    >>> has_dot_segment('/a/%2e%2e/b'), has_dot_segment('/a/.b')
+    (True, False)
+    """
+    plain = path.lower().replace('%2e', '.')
+    return any(part in {'.', '..'} for part in plain.split('/'))
+
+
+def _prefixes(path: str) -> Iterator[str]:
+    """Yield the prefixes of `path` that end with a slash, longest first.
+
+    >>> list(_prefixes('/a/b'))
+    ['/a/', '/']
+    """
+    end = path.rfind('/') + 1
+    while end > 0:
+        yield path[:end]
+        end = path.rfind('/', 0, end - 1) + 1
--- /dev/null
+++ b/teaselquay/coordination/__init__.py
@@ -0,0 +1,29 @@
+"""Decisions of a service's or a team's coordinator, without I/O or clock."""
+
+from teaselquay.coordination._belief import Belief, SpellModel
+from teaselquay.coordination._budget import RepeatBudget, RepeatPolicy
+from teaselquay.coordination._quotas import QuotaLedger
+from teaselquay.coordination._scheduling import (
+    Outcome,
+    Placement,
+    PlacementRefusal,
+    PlacementRequest,
+    RefusalReason,
+    ServiceScheduler,
+    Ticket,
+)
+
+__all__ = (
+    'Belief',
+    'Outcome',
+    'Placement',
+    'PlacementRefusal',
+    'PlacementRequest',
+    'QuotaLedger',
+    'RefusalReason',
+    'RepeatBudget',
+    'RepeatPolicy',
+    'ServiceScheduler',
+    'SpellModel',
+    'Ticket',
+)
--- /dev/null
+++ b/teaselquay/coordination/_scheduling.py
@@ -0,0 +1,392 @@
+"""Placement of a service's requests on its upstreams.
+
+One VM places all requests of a service while it can be reached, so that it
+knows the load of every upstream and hears of each failure first. Every VM
+holds the same scheduler and falls back to its own.
+"""
+
+from collections import deque
+from dataclasses import dataclass, field
+from enum import Enum
+from heapq import heappop, heappush
+from random import Random
+from typing import NewType, Sequence
+
+from teaselquay.configuration import UpstreamRecord
+from teaselquay.coordination._belief import Belief, SpellModel
+from teaselquay.coordination._budget import RepeatBudget, RepeatPolicy
+from teaselquay.decisions import (
+    Instant,
+    Quarantine,
+    QuarantinePolicy,
+    RecentSuccesses,
+    UpstreamName,
+    VmName,
+    ZoneName,
+)
+
+#: Number of one attempt, unique in the fleet.
+Ticket = NewType('Ticket', int)
+
+#: A request that is not answered after so long was not failed at once.
+_OUTLAST_S = 0.06
+#: Time of a request before any was measured, in seconds.
+_FIRST_GUESS_S = 0.5
+#: Weight of a new latency in the running mean.
+_LATENCY_WEIGHT = 0.05
+#: Loss of a late answer as a share of one in time, as the users weigh it.
+_LATE_LOSS = 0.7
+#: Loss of a failure that a second attempt can make good.
+_REPEATABLE_LOSS = 0.3
+#: Loss for each megabyte that crosses zones, in shares of one request, from
+#: the users' price of transfer.
+_ZONE_LOSS_PER_MB = 3.0
+#: Loss at a full upstream: some slow down when they are nearly full.
+_FULL_LOSS = 0.05
+#: Loss of a cold upstream, beside its slower work.
+_COLD_FACTOR = 2.0
+#: Share of the time left that the wait and the work may be expected to take.
+_MOST_OF_TIME_LEFT = 0.9
+#: How long an upstream that shed a request is taken as full.
+_SHED_S = 0.3
+#: How long VMs that could not reach an upstream speak against it.
+_UNREACHABLE_S = 3.0
+#: VMs that must agree that an upstream cannot be reached: one alone may
+#: have a broken path of its own.
+_UNREACHABLE_VMS = 2
+#: Upstreams that a request may crash before it is stopped.
+_MOST_CRASHES = 3
+#: An upstream's queue in multiples of its slots, beyond which it sheds.
+_QUEUE_FACTOR = 3.0
+#: Least time that a refused caller is told to wait, in seconds.
+_LEAST_WAIT_S = 0.25
+_BYTES_PER_MB = 1e6
+
+
+class Outcome(Enum):
+    """How an attempt at an upstream ended."""
+
+    SERVED = 'served'
+    #: The upstream answered that it failed.
+    FAILED = 'failed'
+    #: The connection broke, or the answer was not whole.
+    BROKEN = 'broken'
+    #: No answer came in time.
+    TIMED_OUT = 'timed-out'
+    #: The upstream declined, and did not run the request.
+    SHED = 'shed'
+    #: Another upstream has the address now.
+    MISDIRECTED = 'misdirected'
+    #: No connection was made.
+    UNREACHABLE = 'unreachable'
+    #: The caller left, or another attempt was answered first.
+    CANCELLED = 'cancelled'
+
+
+_FAILURES = frozenset((Outcome.FAILED, Outcome.BROKEN, Outcome.TIMED_OUT))
+
+
+class RefusalReason(Enum):
+    """Why a request was not placed."""
+
+    NO_UPSTREAM = 'no-upstream'
+    OVERLOADED = 'overloaded'
+    REPEAT_BUDGET = 'repeat-budget'
+    QUARANTINED = 'quarantined'
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementRequest:
+    """What is to be placed.
+
+    `left_s` is the time to the deadline, `target_left_s` the time in which
+    an answer has its full worth.
+    """
+
+    ticket: Ticket
+    zone: ZoneName
+    is_idempotent: bool
+    left_s: float
+    target_left_s: float
+    octets: int = 0
+    is_repeat: bool = False
+    excluded: frozenset[UpstreamName] = frozenset()
+    fingerprint: bytes = b''
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """The upstream to use, and what was believed of it."""
+
+    upstream: UpstreamName
+    in_spell: float
+    in_flight: int
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementRefusal:
+    """A request that should not be sent now."""
+
+    reason: RefusalReason
+    retry_after_s: float
+
+
+@dataclass(slots=True)
+class _Flight:
+    upstream: UpstreamName
+    began: Instant
+    expires: Instant
+
+
+@dataclass(slots=True)
+class _Knowledge:
+    """What is known of one upstream."""
+
+    belief: Belief
+    in_flight: int = 0
+    #: Running mean of its latency, divided by the service's.
+    slowness: float = 1.0
+    shed_until: Instant = Instant(0.0)
+    unreachable: dict[VmName, Instant] = field(default_factory=dict)
+
+    def is_unreachable(self, now: Instant) -> bool:
+        """Return whether several VMs could not reach it just now."""
+        recent = [
+            told
+            for told in self.unreachable.values()
+            if now - told < _UNREACHABLE_S
+        ]
+        return len(recent) >= _UNREACHABLE_VMS
+
+
+@dataclass(slots=True)
+class ServiceScheduler:
+    """Load, beliefs and budgets of one service."""
+
+    random: Random
+    model: SpellModel = SpellModel()
+    repeats: RepeatPolicy = RepeatPolicy()
+    quarantine: Quarantine = field(
+        default_factory=lambda: Quarantine(
+            QuarantinePolicy(crashes=_MOST_CRASHES),
+        ),
+    )
+    successes: RecentSuccesses = field(default_factory=RecentSuccesses)
+    mean_s: float = _FIRST_GUESS_S
+    _budget: RepeatBudget | None = None
+    _known: dict[UpstreamName, _Knowledge] = field(default_factory=dict)
+    _flights: dict[Ticket, _Flight] = field(default_factory=dict)
+    _outlasting: deque[tuple[Instant, Ticket]] = field(default_factory=deque)
+    _expiring: list[tuple[Instant, Ticket]] = field(default_factory=list)
+
+    def place(
+        self,
+        request: PlacementRequest,
+        upstreams: Sequence[UpstreamRecord],
+        now: Instant,
+    ) -> Placement | PlacementRefusal:
+        """Return where `request` goes, and count it there."""
+        self._settle(now)
+        if self.quarantine.is_stopped(request.fingerprint, now):
+            return PlacementRefusal(
+                RefusalReason.QUARANTINED,
+                self.quarantine.policy.keep_s,
+            )
+        able = self._able(request, upstreams, now)
+        if not able:
+            return PlacementRefusal(RefusalReason.NO_UPSTREAM, 1.0)
+        best = min(able, key=lambda up: self._loss(request, up, now))
+        refusal = self._refusal(request, best, now)
+        if refusal is not None:
+            return refusal
+        return self._begin(request, best, now)
+
+    def finish(
+        self,
+        ticket: Ticket,
+        upstream: UpstreamName,
+        outcome: Outcome,
+        latency_s: float,
+        now: Instant,
+        vm: VmName = VmName(''),
+        fingerprint: bytes = b'',
+    ) -> None:
+        """Take in how an attempt ended, here or as another VM tells."""
+        self._release(ticket)
+        self._learn(upstream, outcome, latency_s, now, vm)
+        if outcome is Outcome.SERVED:
+            self.successes.add(fingerprint, now)
+        elif outcome is Outcome.BROKEN and fingerprint:
+            if not self.successes.has(fingerprint, now):
+                self.quarantine.crashed(fingerprint, upstream, now)
+
+    def in_spell(self, upstream: UpstreamName, now: Instant) -> float:
+        """Return the probability that `upstream` is in a spell."""
+        return self._of(upstream).belief.at(now)
+
+    def in_flight(self, upstream: UpstreamName) -> int:
+        """Return the attempts at `upstream` that have not ended."""
+        return self._of(upstream).in_flight
+
+    def forget_missing(self, upstreams: Sequence[UpstreamRecord]) -> None:
+        """Forget upstreams that are not among `upstreams`."""
+        kept = {up.name for up in upstreams}
+        for name in [name for name in self._known if name not in kept]:
+            if not self._known[name].in_flight:
+                del self._known[name]
+
+    def _learn(
+        self,
+        upstream: UpstreamName,
+        outcome: Outcome,
+        latency_s: float,
+        now: Instant,
+        vm: VmName,
+    ) -> None:
+        known = self._of(upstream)
+        began = Instant(now - latency_s)
+        if outcome in _FAILURES:
+            known.belief.failed(now)
+        elif outcome is Outcome.SERVED:
+            known.belief.succeeded(began, now)
+            known.unreachable.clear()
+            self._learn_latency(known, latency_s)
+        elif outcome is Outcome.SHED:
+            known.shed_until = Instant(now + _SHED_S)
+        elif outcome is Outcome.UNREACHABLE:
+            known.unreachable[vm] = now
+
+    def _learn_latency(self, known: _Knowledge, latency_s: float) -> None:
+        ratio = latency_s / self.mean_s
+        known.slowness += 2 * _LATENCY_WEIGHT * (ratio - known.slowness)
+        self.mean_s += _LATENCY_WEIGHT * (latency_s - self.mean_s)
+
+    def _able(
+        self,
+        request: PlacementRequest,
+        upstreams: Sequence[UpstreamRecord],
+        now: Instant,
+    ) -> list[UpstreamRecord]:
+        others = [up for up in upstreams if up.name not in request.excluded]
+        reachable = [
+            up for up in others if not self._of(up.name).is_unreachable(now)
+        ]
+        # If none can be reached, the paths are at fault more likely.
+        return reachable or others
+
+    def _loss(
+        self,
+        request: PlacementRequest,
+        upstream: UpstreamRecord,
+        now: Instant,
+    ) -> float:
+        """Return the expected loss, in shares of the request's worth."""
+        known = self._of(upstream.name)
+        failure = known.belief.fails_at(now)
+        if request.is_idempotent:
+            failure *= _REPEATABLE_LOSS
+        expected_s = self._expected_s(upstream, known)
+        target_s = max(request.target_left_s, self.mean_s / 2)
+        late = min(1, max(0, expected_s / target_s - 0.5))
+        fill = (known.in_flight + 1) / upstream.slots
+        loss = failure + (1 - failure) * late * _LATE_LOSS
+        loss += _FULL_LOSS * fill * fill
+        if upstream.zone != request.zone:
+            loss += request.octets / _BYTES_PER_MB * _ZONE_LOSS_PER_MB
+        if now < known.shed_until:
+            loss += 1
+        # Equal upstreams are drawn by chance, which matters on fallback.
+        return loss + self.random.random() * _FULL_LOSS / 2
+
+    def _expected_s(
+        self,
+        upstream: UpstreamRecord,
+        known: _Knowledge,
+    ) -> float:
+        """Return the expected wait and work at `upstream`, in seconds."""
+        work_s = self.mean_s * max(0.3, known.slowness)
+        if upstream.warmup_left_s > 0:
+            work_s *= _COLD_FACTOR
+        ahead = max(0, known.in_flight + 1 - upstream.slots)
+        return work_s * (1 + ahead / upstream.slots)
+
+    def _refusal(
+        self,
+        request: PlacementRequest,
+        best: UpstreamRecord,
+        now: Instant,
+    ) -> PlacementRefusal | None:
+        """Return why the request should not be sent even to `best`.
+
+        Load pattern: more work than the slots carry. A request whose turn
+        would come too late is refused while its caller can still wait.
+        """
+        known = self._of(best.name)
+        expected_s = self._expected_s(best, known)
+        too_late = expected_s > request.left_s * _MOST_OF_TIME_LEFT
+        too_many = known.in_flight >= best.slots * (1 + _QUEUE_FACTOR)
+        if too_late or too_many:
+            wait_s = max(_LEAST_WAIT_S, expected_s - self.mean_s)
+            spread = 1 + self.random.random()
+            return PlacementRefusal(
+                RefusalReason.OVERLOADED,
+                wait_s * spread,
+            )
+        if request.is_repeat and not self._spend_repeat():
+            return PlacementRefusal(
+                RefusalReason.REPEAT_BUDGET,
+                _LEAST_WAIT_S * (1 + self.random.random()),
+            )
+        return None
+
+    def _begin(
+        self,
+        request: PlacementRequest,
+        upstream: UpstreamRecord,
+        now: Instant,
+    ) -> Placement:
+        if not request.is_repeat:
+            self._repeat_budget().earn()
+        known = self._of(upstream.name)
+        placement = Placement(
+            upstream.name,
+            known.belief.at(now),
+            known.in_flight,
+        )
+        known.in_flight += 1
+        expires = Instant(now + request.left_s + _LEAST_WAIT_S)
+        self._flights[request.ticket] = _Flight(upstream.name, now, expires)
+        self._outlasting.append((Instant(now + _OUTLAST_S), request.ticket))
+        heappush(self._expiring, (expires, request.ticket))
+        return placement
+
+    def _settle(self, now: Instant) -> None:
+        """Take in what time alone shows of the attempts in flight."""
+        while self._outlasting and self._outlasting[0][0] <= now:
+            _, ticket = self._outlasting.popleft()
+            flight = self._flights.get(ticket)
+            if flight is not None:
+                known = self._of(flight.upstream)
+                known.belief.outlasted(flight.began, now)
+        while self._expiring and self._expiring[0][0] <= now:
+            # The VM that sent it may be gone without a word.
+            self._release(heappop(self._expiring)[1])
+
+    def _release(self, ticket: Ticket) -> None:
+        flight = self._flights.pop(ticket, None)
+        if flight is not None:
+            self._of(flight.upstream).in_flight -= 1
+
+    def _spend_repeat(self) -> bool:
+        return self._repeat_budget().take()
+
+    def _repeat_budget(self) -> RepeatBudget:
+        if self._budget is None:
+            self._budget = RepeatBudget(self.repeats)
+        return self._budget
+
+    def _of(self, upstream: UpstreamName) -> _Knowledge:
+        known = self._known.get(upstream)
+        if known is None:
+            known = self._known[upstream] = _Knowledge(Belief(self.model))
+        return known
--- /dev/null
+++ b/teaselquay/events/_registry.py
@@ -0,0 +1,34 @@
+"""The stable names of events, and how often each may be logged."""
+
+from enum import Enum
+
+
+class Event(Enum):
+    """What a line tells; docs/OPERATIONS.md lists the fields of each."""
+
+    STARTED = 'process.started'
+    STOPPING = 'process.stopping'
+    STOPPED = 'process.stopped'
+    RELOADED = 'settings.reloaded'
+    SETTINGS_REJECTED = 'settings.rejected'
+    READY_CHANGED = 'process.ready-changed'
+    STORE_LOST = 'store.lost'
+    STORE_REGAINED = 'store.regained'
+    READER_CHANGED = 'store.reader-changed'
+    HISTORY_LOST = 'store.history-lost'
+    ENTRY_REJECTED = 'store.entry-rejected'
+    CONFIGURATION_APPLIED = 'configuration.applied'
+    UPSTREAM_ADDED = 'upstream.added'
+    UPSTREAM_CHANGED = 'upstream.changed'
+    UPSTREAM_REMOVED = 'upstream.removed'
+    UPSTREAM_LAPSED = 'upstream.lapsed'
+    UPSTREAM_SUSPECTED = 'upstream.suspected'
+    PEER_LOST = 'peer.lost'
+    PEER_REGAINED = 'peer.regained'
+    REQUEST_REFUSED = 'request.refused'
+    REQUEST_FAILED = 'request.failed'
+    REQUEST_REPEATED = 'request.repeated'
+    REQUEST_ABANDONED = 'request.abandoned'
+    ATTEMPT_FAILED = 'attempt.failed'
+    PLACED_LOCALLY = 'placement.local'
+    MESSAGE = 'message'
--- /dev/null
+++ b/teaselquay/fleet/__init__.py
@@ -0,0 +1,18 @@
+"""How the VMs of a fleet share a store, find each other and coordinate."""
+
+from teaselquay.fleet._coordinators import Coordinators, Finished
+from teaselquay.fleet._directory import Directory
+from teaselquay.fleet._replication import Replication
+from teaselquay.fleet._state import Decoder, FleetState
+from teaselquay.fleet._store import HistoryLost, SharedStore
+
+__all__ = (
+    'Coordinators',
+    'Decoder',
+    'Directory',
+    'FleetState',
+    'Finished',
+    'HistoryLost',
+    'Replication',
+    'SharedStore',
+)
--- /dev/null
+++ b/teaselquay/fleet/_coordinators.py
@@ -0,0 +1,367 @@
+"""Asks the coordinator of a team or a service, or decides alone.
+
+The coordinator is the first VM in rendezvous order that answers. It keeps
+soft state only: whoever comes next starts with what it was told so far.
+"""
+
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any, Callable
+
+from teaselquay.configuration import TeamRule
+from teaselquay.coordination import (
+    Outcome,
+    Placement,
+    PlacementRefusal,
+    PlacementRequest,
+    QuotaLedger,
+    RefusalReason,
+    RepeatPolicy,
+    ServiceScheduler,
+    Ticket,
+)
+from teaselquay.decisions import (
+    Instant,
+    ServiceName,
+    TeamName,
+    UpstreamName,
+    VmName,
+    ZoneName,
+)
+from teaselquay.events import Event, Journal
+from teaselquay.fleet._directory import Directory
+from teaselquay.fleet._state import FleetState
+from teaselquay.shells import (
+    Answer,
+    Clock,
+    PeerLink,
+    PeerTimeoutError,
+    Question,
+    TimerService,
+)
+
+#: Time for a coordinator's answer in seconds: some round trips between
+#: zones, and well below what a caller notices.
+_ASK_TIMEOUT_S = 0.04
+#: Coordinators that are asked before a VM decides alone.
+_MOST_ASKED = 2
+_BEAT_PERIOD_S = 0.5
+#: Coordinators that one VM sends beats to at most.
+_MOST_BEATS = 16
+#: Successors that hear of failures beside the coordinator.
+_SUCCESSORS = 2
+_MS_PER_S = 1000
+_PERMILLE = 1000
+_MOST_MS = (1 << 32) - 1
+_TICKET_BITS = 63
+_TOLD_TO_SUCCESSORS = frozenset(
+    (Outcome.FAILED, Outcome.BROKEN, Outcome.TIMED_OUT, Outcome.UNREACHABLE),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Finished:
+    """How one attempt ended."""
+
+    service: ServiceName
+    ticket: Ticket
+    upstream: UpstreamName
+    outcome: Outcome
+    latency_s: float
+    fingerprint: bytes = b''
+
+
+@dataclass(slots=True)
+class Coordinators:
+    """Coordinates for other VMs, and asks theirs."""
+
+    vm: VmName
+    link: PeerLink
+    directory: Directory
+    state: FleetState
+    clock: Clock
+    random: Random
+    journal: Journal
+    repeats: RepeatPolicy
+    quotas: QuotaLedger = field(default_factory=QuotaLedger)
+    is_serving: Callable[[], bool] = lambda: True
+    _schedulers: dict[ServiceName, ServiceScheduler] = field(
+        default_factory=dict,
+    )
+    _alone: QuotaLedger = field(default_factory=QuotaLedger)
+
+    def start(self, timers: TimerService) -> None:
+        """Answer other VMs, and subscribe to `timers`."""
+        self.link.on('admit', self._on_admit)
+        self.link.on('place', self._on_place)
+        self.link.on('finished', self._on_finished)
+        self.link.on('notice', self._on_notice)
+        self.link.on('beat', self._on_beat)
+        self.state.subscribe(self._forget_missing)
+        timers.subscribe('beat', _BEAT_PERIOD_S, self._beat)
+
+    def new_ticket(self) -> Ticket:
+        """Return the number of a new attempt."""
+        return Ticket(self.random.getrandbits(_TICKET_BITS))
+
+    async def admit(self, team: TeamRule) -> float:
+        """Return 0 if a request of `team` is admitted, else a wait."""
+        if team.rate <= 0:
+            return 0
+        subject = f'team-{team.name}'
+        fields = {'team': team.name}
+        for vm in self._asked(subject):
+            if vm == self.vm:
+                return self._admit(team)
+            answer = await self._ask(vm, 'admit', fields)
+            if answer is not None and answer.isKnown:
+                return answer.waitMs / _MS_PER_S
+        # Alone, a VM grants its even share of the rate.
+        share = 1 / self.directory.known_count()
+        now = self.clock.now()
+        return self._alone.admit(team.name, team.rate * share, 1, now)
+
+    async def place(
+        self,
+        service: ServiceName,
+        request: PlacementRequest,
+    ) -> Placement | PlacementRefusal:
+        """Return where `request` should be sent."""
+        fields = _place_fields(service, request)
+        for vm in self._asked(f'service-{service}'):
+            if vm == self.vm:
+                return self._place(service, request)
+            answer = await self._ask(vm, 'place', fields)
+            if answer is not None and answer.refusal != 'unavailable':
+                return _parse_placed(answer)
+        self.journal.emit(
+            Event.PLACED_LOCALLY,
+            service=service,
+            ticket=request.ticket,
+        )
+        return self._place(service, request)
+
+    def finish(self, finished: Finished) -> None:
+        """Tell the coordinator how an attempt ended.
+
+        Failures also go to its successors, which then know of them.
+        """
+        self._finish(finished, self.vm)
+        subject = f'service-{finished.service}'
+        ranked = self.directory.ranked(subject, self.clock.now())
+        most = 1
+        if finished.outcome in _TOLD_TO_SUCCESSORS:
+            most += _SUCCESSORS
+        for vm in ranked[:most]:
+            self._tell(vm, 'finished', _finished_fields(finished))
+
+    def announce(self, is_serving: bool) -> None:
+        """Tell all VMs that this one serves, or leaves."""
+        for vm in self.directory.others():
+            self._tell(vm, 'notice', {'isServing': is_serving})
+
+    def scheduler(self, service: ServiceName) -> ServiceScheduler:
+        """Return this VM's own scheduler of `service`."""
+        found = self._schedulers.get(service)
+        if found is None:
+            found = ServiceScheduler(self.random, repeats=self.repeats)
+            self._schedulers[service] = found
+        return found
+
+    def _asked(self, subject: str) -> list[VmName]:
+        ranked = self.directory.ranked(subject, self.clock.now())
+        return ranked[:_MOST_ASKED]
+
+    def _admit(self, team: TeamRule) -> float:
+        now = self.clock.now()
+        rate = team.rate * self.directory.heard_share(now)
+        return self.quotas.admit(team.name, rate, team.burst, now)
+
+    def _place(
+        self,
+        service: ServiceName,
+        request: PlacementRequest,
+    ) -> Placement | PlacementRefusal:
+        return self.scheduler(service).place(
+            request,
+            self.state.usable(service),
+            self.clock.now(),
+        )
+
+    def _finish(self, finished: Finished, vm: VmName) -> None:
+        scheduler = self.scheduler(finished.service)
+        now = self.clock.now()
+        before = scheduler.in_spell(finished.upstream, now)
+        scheduler.finish(
+            finished.ticket,
+            finished.upstream,
+            finished.outcome,
+            finished.latency_s,
+            now,
+            vm,
+            finished.fingerprint,
+        )
+        after = scheduler.in_spell(finished.upstream, now)
+        if before < 1 / 2 <= after:
+            self.journal.emit(
+                Event.UPSTREAM_SUSPECTED,
+                upstream=finished.upstream,
+                service=finished.service,
+                outcome=finished.outcome.value,
+                told_by=vm,
+                before=round(before, 3),
+                after=round(after, 3),
+            )
+
+    async def _ask(self, vm: VmName, kind: str, fields: Any) -> Any | None:
+        address = self.directory.address(vm)
+        if address is None:
+            return None
+        try:
+            answer = await self.link.call(address, kind, fields, _ASK_TIMEOUT_S)
+        except PeerTimeoutError:
+            self.directory.timed_out(vm, self.clock.now())
+            return None
+        self.directory.heard(vm, self.clock.now())
+        return answer
+
+    def _tell(self, vm: VmName, kind: str, fields: Any) -> None:
+        address = self.directory.address(vm)
+        if address is not None and vm != self.vm:
+            self.link.tell(address, kind, fields)
+
+    async def _beat(self) -> None:
+        """Let the coordinators know that this VM can be heard."""
+        table = self.state.table
+        if table is None:
+            return
+        now = self.clock.now()
+        targets: set[VmName] = set()
+        for team in table.configuration.teams_by_name:
+            targets.update(self.directory.ranked(f'team-{team}', now)[:1])
+            if len(targets) >= _MOST_BEATS:
+                break
+        for vm in targets:
+            self._tell(vm, 'beat', None)
+
+    def _on_admit(self, question: Question) -> Answer:
+        self._heard(question)
+        table = self.state.table
+        team = None
+        if table is not None and self.is_serving():
+            teams = table.configuration.teams_by_name
+            team = teams.get(TeamName(question.body.team))
+        if team is None:
+            return Answer('admitted', {'isKnown': False})
+        wait_ms = int(self._admit(team) * _MS_PER_S)
+        return Answer('admitted', {'isKnown': True, 'waitMs': wait_ms})
+
+    def _on_place(self, question: Question) -> Answer:
+        self._heard(question)
+        if self.state.table is None or not self.is_serving():
+            return Answer('placed', {'refusal': 'unavailable'})
+        request = _parse_place(question.body)
+        service = ServiceName(question.body.service)
+        placed = self._place(service, request)
+        return Answer('placed', _placed_fields(placed))
+
+    def _on_finished(self, question: Question) -> None:
+        self._heard(question)
+        body = question.body
+        finished = Finished(
+            service=ServiceName(body.service),
+            ticket=Ticket(body.ticket),
+            upstream=UpstreamName(body.upstream),
+            outcome=Outcome(body.outcome),
+            latency_s=body.latencyMs / _MS_PER_S,
+            fingerprint=bytes(body.fingerprint),
+        )
+        self._finish(finished, question.sender)
+
+    def _on_notice(self, question: Question) -> None:
+        self._heard(question)
+        self.directory.noticed(question.sender, question.body.isServing)
+
+    def _on_beat(self, question: Question) -> None:
+        self._heard(question)
+
+    def _heard(self, question: Question) -> None:
+        self.directory.heard(question.sender, self.clock.now())
+
+    def _forget_missing(self) -> None:
+        records = tuple(self.state.upstreams_by_name.values())
+        for scheduler in self._schedulers.values():
+            scheduler.forget_missing(records)
+
+
+def _to_ms(seconds: float) -> int:
+    return min(_MOST_MS, max(0, int(seconds * _MS_PER_S)))
+
+
+def _place_fields(
+    service: ServiceName,
+    request: PlacementRequest,
+) -> dict[str, Any]:
+    return {
+        'service': service,
+        'ticket': request.ticket,
+        'zone': request.zone,
+        'isIdempotent': request.is_idempotent,
+        'leftMs': _to_ms(request.left_s),
+        'targetLeftMs': _to_ms(request.target_left_s),
+        'octets': request.octets,
+        'isRepeat': request.is_repeat,
+        'excluded': sorted(request.excluded),
+        'fingerprint': request.fingerprint,
+    }
+
+
+def _parse_place(body: Any) -> PlacementRequest:
+    return PlacementRequest(
+        ticket=Ticket(body.ticket),
+        zone=ZoneName(body.zone),
+        is_idempotent=body.isIdempotent,
+        left_s=body.leftMs / _MS_PER_S,
+        target_left_s=body.targetLeftMs / _MS_PER_S,
+        octets=body.octets,
+        is_repeat=body.isRepeat,
+        excluded=frozenset(map(UpstreamName, body.excluded)),
+        fingerprint=bytes(body.fingerprint),
+    )
+
+
+def _placed_fields(placed: Placement | PlacementRefusal) -> dict[str, Any]:
+    if isinstance(placed, PlacementRefusal):
+        return {
+            'refusal': placed.reason.value,
+            'retryAfterMs': _to_ms(placed.retry_after_s),
+        }
+    return {
+        'upstream': placed.upstream,
+        'inSpellPermille': int(placed.in_spell * _PERMILLE),
+        'inFlight': placed.in_flight,
+    }
+
+
+def _parse_placed(body: Any) -> Placement | PlacementRefusal:
+    if body.refusal:
+        return PlacementRefusal(
+            RefusalReason(body.refusal),
+            body.retryAfterMs / _MS_PER_S,
+        )
+    return Placement(
+        UpstreamName(body.upstream),
+        body.inSpellPermille / _PERMILLE,
+        body.inFlight,
+    )
+
+
+def _finished_fields(finished: Finished) -> dict[str, Any]:
+    return {
+        'service': finished.service,
+        'ticket': finished.ticket,
+        'upstream': finished.upstream,
+        'outcome': finished.outcome.value,
+        'latencyMs': _to_ms(finished.latency_s),
+        'fingerprint': finished.fingerprint,
+    }
--- /dev/null
+++ b/teaselquay/fleet/_directory.py
@@ -0,0 +1,138 @@
+"""The VMs of the fleet, and which of them can be asked."""
+
+from dataclasses import dataclass, field
+from typing import Iterable
+
+from teaselquay.configuration import VmRecord
+from teaselquay.decisions import Instant, VmName, ZoneName, rank_vms
+from teaselquay.events import Event, Journal
+from teaselquay.shells import Address
+
+#: How long a VM that did not answer is not asked again, in seconds.
+_SUSPECT_S = 1.0
+#: How long a VM counts as heard from after its last message, in seconds:
+#: three beats.
+_HEARD_S = 1.5
+#: A VM that was silent for so long is taken as removed, in seconds: longer
+#: than cuts that heal.
+_REMOVED_S = 20.0
+#: VMs that are tried before a decision is taken alone.
+_MOST_RANKED = 3
+_NEVER = Instant(float('-inf'))
+
+
+@dataclass(slots=True)
+class Directory:
+    """Where the VMs are, and when each was last heard from."""
+
+    vm: VmName
+    zone: ZoneName
+    journal: Journal
+    records_by_name: dict[VmName, VmRecord] = field(default_factory=dict)
+    #: Addresses from the settings, to find a first peer without the store.
+    seeds: tuple[Address, ...] = ()
+    _heard: dict[VmName, Instant] = field(default_factory=dict)
+    _suspect_until: dict[VmName, Instant] = field(default_factory=dict)
+    _first_seen: dict[VmName, Instant] = field(default_factory=dict)
+    _leaving: set[VmName] = field(default_factory=set)
+    _ranks: dict[str, list[VmName]] = field(default_factory=dict)
+    last_contact: Instant = _NEVER
+
+    def replace(self, records: Iterable[VmRecord], now: Instant) -> None:
+        """Take over the VMs that the store lists."""
+        by_name = {record.name: record for record in records}
+        if by_name != self.records_by_name:
+            self.records_by_name = by_name
+            self._ranks.clear()
+        for name in by_name:
+            self._first_seen.setdefault(name, now)
+
+    def address(self, vm: VmName) -> Address | None:
+        """Return where `vm` listens."""
+        record = self.records_by_name.get(vm)
+        return Address.parse(record.peer) if record else None
+
+    def others(self) -> list[VmName]:
+        """Return all VMs but this one."""
+        return [name for name in self.records_by_name if name != self.vm]
+
+    def heard(self, vm: VmName, now: Instant) -> None:
+        """Note that a message came from `vm`."""
+        self._heard[vm] = now
+        self.last_contact = now
+        if self._suspect_until.pop(vm, None) is not None:
+            self.journal.emit(Event.PEER_REGAINED, peer=vm)
+
+    def timed_out(self, vm: VmName, now: Instant) -> None:
+        """Note that `vm` did not answer."""
+        if vm not in self._suspect_until:
+            heard = self._heard.get(vm)
+            self.journal.emit(
+                Event.PEER_LOST,
+                peer=vm,
+                heard_s_ago=None if heard is None else round(now - heard, 3),
+            )
+        self._suspect_until[vm] = Instant(now + _SUSPECT_S)
+
+    def noticed(self, vm: VmName, is_serving: bool) -> None:
+        """Note what `vm` says of itself."""
+        if is_serving:
+            self._leaving.discard(vm)
+        else:
+            self._leaving.add(vm)
+
+    def is_askable(self, vm: VmName, now: Instant) -> bool:
+        """Return whether `vm` may be expected to answer."""
+        if vm in self._leaving:
+            return False
+        return now >= self._suspect_until.get(vm, _NEVER)
+
+    def ranked(self, subject: str, now: Instant) -> list[VmName]:
+        """Return the VMs that coordinate `subject`, the first one first."""
+        ranks = self._ranks.get(subject)
+        if ranks is None:
+            names = self.records_by_name.keys() | {self.vm}
+            ranks = self._ranks[subject] = rank_vms(subject, names)
+        found: list[VmName] = []
+        for name in ranks:
+            if self.is_askable(name, now):
+                found.append(name)
+                if len(found) == _MOST_RANKED:
+                    break
+        return found
+
+    def reader_of(self, zone: ZoneName, now: Instant) -> VmName | None:
+        """Return the VM that reads the store for `zone`."""
+        names = [
+            record.name
+            for record in self.records_by_name.values()
+            if record.zone == zone and self.is_askable(record.name, now)
+        ]
+        ranks = rank_vms('store-reader', names)
+        return ranks[0] if ranks else None
+
+    def zones(self) -> list[ZoneName]:
+        """Return the zones of all VMs, in order."""
+        return sorted({rec.zone for rec in self.records_by_name.values()})
+
+    def heard_share(self, now: Instant) -> float:
+        """Return the share of the fleet's VMs that this one hears from.
+
+        VMs that left by notice, or were silent for long, do not count.
+        """
+        heard = 1
+        known = 1
+        for name in self.others():
+            since = max(
+                self._heard.get(name, _NEVER),
+                self._first_seen.get(name, _NEVER),
+            )
+            if name in self._leaving or now - since > _REMOVED_S:
+                continue
+            known += 1
+            heard += now - self._heard.get(name, _NEVER) <= _HEARD_S
+        return heard / known
+
+    def known_count(self) -> int:
+        """Return how many VMs the fleet has, as the store lists them."""
+        return max(1, len(self.records_by_name))
--- /dev/null
+++ b/teaselquay/fleet/_replication.py
@@ -0,0 +1,295 @@
+"""Keeps the state up to date: few VMs watch the store, all others pull."""
+
+import asyncio
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+from returns.result import Failure, Success
+
+from teaselquay.configuration import VmRecord
+from teaselquay.decisions import Delta, Entry, Instant, Replica, Revision
+from teaselquay.events import Event, Journal
+from teaselquay.fleet._directory import Directory
+from teaselquay.fleet._state import FleetState
+from teaselquay.fleet._store import HistoryLost, SharedStore
+from teaselquay.shells import (
+    Address,
+    Answer,
+    Clock,
+    PeerLink,
+    PeerTimeoutError,
+    Question,
+    TimerService,
+    entry_fields,
+    parse_delta,
+)
+
+#: Time that one watch waits at the store. Its answer is the evidence of
+#: how fresh the state is, so it is well below the staleness that counts.
+_WATCH_S = 2.0
+_PULL_PERIOD_S = 0.4
+_PULL_TIMEOUT_S = 0.3
+#: Pause after a call to the store that failed.
+_STORE_PAUSE_S = 0.3
+#: Evidence older than this makes other VMs try the store themselves.
+_STALE_S = 3.0
+#: Expected number of VMs that try the store in one period then.
+_SPARE_READERS = 2
+#: Bytes of entries in one datagram, below the largest that UDP carries.
+_MOST_DELTA_BYTES = 40_000
+_MOST_DATAGRAM_BYTES = 60_000
+#: Every so many pulls go to another zone's reader.
+_OTHER_ZONE_EVERY = 4
+_MS_PER_S = 1000
+_AGE_UNKNOWN_MS = (1 << 32) - 1
+_NEVER = Instant(float('-inf'))
+
+
+@dataclass(slots=True)
+class Replication:
+    """Reads the store, pulls from peers and answers their pulls."""
+
+    record: VmRecord
+    store: SharedStore
+    link: PeerLink
+    directory: Directory
+    state: FleetState
+    clock: Clock
+    random: Random
+    journal: Journal
+    replica: Replica = field(default_factory=Replica)
+    #: When the store was last known to hold nothing newer.
+    fresh_at: Instant = _NEVER
+    _settled_at: Instant = _NEVER
+    _is_store_lost: bool = False
+    _was_reader: bool = False
+    _registered: bool = False
+    _round: int = 0
+    _pulling: bool = False
+    _tasks: set['asyncio.Task[Any]'] = field(default_factory=set)
+
+    def start(self, timers: TimerService) -> None:
+        """Answer peers, and subscribe to `timers`."""
+        self.link.on('pull', self._on_pull)
+        self.link.on('changed', self._on_changed)
+        timers.subscribe('pull', _PULL_PERIOD_S, self.pull_once)
+        timers.subscribe('watch', _STORE_PAUSE_S, self.watch_while_reader)
+        timers.subscribe('lapsed', _STORE_PAUSE_S, self._remove_lapsed)
+
+    def age_s(self) -> float:
+        """Return how old the evidence is that nothing newer exists."""
+        return self.clock.now() - self.fresh_at
+
+    async def watch_while_reader(self) -> None:
+        """Read the store for as long as this VM is its zone's reader."""
+        if not self._registered:
+            await self._begin()
+        while self._is_reader() and await self._read(_WATCH_S):
+            continue
+        if self.age_s() > _STALE_S:
+            others = self.directory.known_count()
+            if self.random.random() < _SPARE_READERS / others:
+                await self._read(0)
+
+    async def pull_once(self) -> None:
+        """Pull from a reader, or from a seed while no VM is known."""
+        self._round += 1
+        address = self._source()
+        if address is not None and not self._pulling:
+            await self._pull(address)
+
+    async def _begin(self) -> None:
+        """Read everything once, and register this VM."""
+        if not await self._read_all():
+            return
+        if self.state.vms_by_name.get(self.record.name) == self.record:
+            self._registered = True
+            return
+        registered = await self.store.register(self.record)
+        self._registered = isinstance(registered, Success)
+
+    async def _read(self, wait_s: float) -> bool:
+        """Return whether the store answered."""
+        if not self.replica.revision:
+            return await self._read_all()
+        began = self.clock.now()
+        read = await self.store.changes(self.replica.revision, wait_s)
+        if isinstance(read, Success):
+            # A watch that waited shows that nothing came until its answer,
+            # less the way back, which is shorter than the way was.
+            waited_s = self.clock.now() - began
+            instant = Instant(began + min(wait_s, waited_s) / 2)
+            self._store_answered(instant)
+            self._merge(read.unwrap(), tell=True)
+            return True
+        fault = read.failure()
+        if isinstance(fault, HistoryLost):
+            self.journal.emit(Event.HISTORY_LOST, since=fault.since)
+            return await self._read_all()
+        self._store_failed(fault.reason)
+        return False
+
+    async def _read_all(self) -> bool:
+        began = self.clock.now()
+        read = await self.store.read_all()
+        if isinstance(read, Failure):
+            self._store_failed(read.failure().reason)
+            return False
+        self._store_answered(began)
+        self._merge(self._with_removed(read.unwrap()), tell=True)
+        return True
+
+    def _with_removed(self, whole: Delta) -> Delta:
+        """Return `whole` with a removal for each entry it lacks."""
+        kept = {entry.key for entry in whole.entries}
+        removed = tuple(
+            Entry(key, b'', whole.upto)
+            for key, entry in self.replica.by_key.items()
+            if key not in kept and entry.value
+        )
+        entries = (*whole.entries, *removed)
+        return Delta(Revision(0), whole.upto, entries)
+
+    def _merge(self, delta: Delta, tell: bool) -> None:
+        before = self.replica.revision
+        changed = self.replica.merge(delta)
+        if not changed and before:
+            return
+        now = self.clock.now()
+        self.state.apply(changed, now, now - self._settled_at)
+        self.directory.replace(self.state.vms_by_name.values(), now)
+        if tell and before:
+            self._tell_zone()
+
+    def _tell_zone(self) -> None:
+        fields = {'revision': self.replica.revision}
+        for name, record in self.directory.records_by_name.items():
+            if record.zone == self.record.zone and name != self.record.name:
+                self.link.tell(Address.parse(record.peer), 'changed', fields)
+
+    def _store_answered(self, instant: Instant) -> None:
+        if self._settled_at == _NEVER or self._is_store_lost:
+            self._settled_at = self.clock.now()
+        if self._is_store_lost:
+            self._is_store_lost = False
+            self.journal.emit(
+                Event.STORE_REGAINED,
+                revision=self.replica.revision,
+            )
+        self.fresh_at = max(self.fresh_at, instant)
+        self.directory.last_contact = self.clock.now()
+
+    def _store_failed(self, reason: str) -> None:
+        if not self._is_store_lost:
+            self._is_store_lost = True
+            self.journal.emit(
+                Event.STORE_LOST,
+                reason=reason,
+                revision=self.replica.revision,
+            )
+
+    def _is_reader(self) -> bool:
+        reader = self.directory.reader_of(self.record.zone, self.clock.now())
+        is_reader = self._registered and reader == self.record.name
+        if is_reader != self._was_reader:
+            self._was_reader = is_reader
+            self.journal.emit(
+                Event.READER_CHANGED,
+                is_reader=is_reader,
+                revision=self.replica.revision,
+            )
+        return is_reader
+
+    def _source(self) -> Address | None:
+        now = self.clock.now()
+        zones = self.directory.zones()
+        zone = self.record.zone
+        if zones and self._round % _OTHER_ZONE_EVERY == 0:
+            zone = self.random.choice(zones)
+        reader = self.directory.reader_of(zone, now)
+        if reader is None and zones:
+            reader = self.directory.reader_of(self.random.choice(zones), now)
+        if reader is not None and reader != self.record.name:
+            return self.directory.address(reader)
+        others = self.directory.others()
+        if others:
+            return self.directory.address(self.random.choice(others))
+        seeds = [s for s in self.directory.seeds if str(s) != self.record.peer]
+        return self.random.choice(seeds) if seeds else None
+
+    async def _pull(self, address: Address) -> None:
+        self._pulling = True
+        try:
+            while await self._pull_part(address):
+                continue
+        except PeerTimeoutError:
+            self._suspect(address)
+        finally:
+            self._pulling = False
+
+    def _suspect(self, address: Address) -> None:
+        for name, record in self.directory.records_by_name.items():
+            if Address.parse(record.peer) == address:
+                self.directory.timed_out(name, self.clock.now())
+
+    async def _pull_part(self, address: Address) -> bool:
+        asked = self.clock.now()
+        fields = {'revision': self.replica.revision}
+        pulled = await self.link.call(address, 'pull', fields, _PULL_TIMEOUT_S)
+        settled_s = pulled.storeSettledMs / _MS_PER_S
+        if self.fresh_at == _NEVER or self.age_s() > _STALE_S:
+            self._settled_at = Instant(self.clock.now() - settled_s)
+        elif not self._was_reader:
+            self._settled_at = Instant(self.clock.now() - settled_s)
+        self._merge(parse_delta(pulled), tell=False)
+        behind = self.replica.revision < pulled.revision
+        if not behind and pulled.storeAgeMs != _AGE_UNKNOWN_MS:
+            age_s = pulled.storeAgeMs / _MS_PER_S
+            self.fresh_at = max(self.fresh_at, Instant(asked - age_s))
+        if behind and not pulled.entries:
+            # An entry is too large for a datagram.
+            await self._read(0)
+            return False
+        return behind
+
+    def _on_pull(self, question: Question) -> Answer:
+        now = self.clock.now()
+        self.directory.heard(question.sender, now)
+        delta = self.replica.changes_since(
+            Revision(question.body.revision),
+            _MOST_DELTA_BYTES,
+        )
+        octets = sum(len(entry.value) for entry in delta.entries)
+        if octets > _MOST_DATAGRAM_BYTES:
+            # Too large for a datagram: the asker reads it at the store.
+            delta = Delta(delta.since, delta.since)
+        return Answer(
+            'pulled',
+            {
+                'since': delta.since,
+                'upto': delta.upto,
+                'entries': [entry_fields(entry) for entry in delta.entries],
+                'revision': self.replica.revision,
+                'storeAgeMs': _to_ms(now - self.fresh_at),
+                'storeSettledMs': _to_ms(now - self._settled_at),
+            },
+        )
+
+    def _on_changed(self, question: Question) -> None:
+        self.directory.heard(question.sender, self.clock.now())
+        address = self.directory.address(question.sender)
+        is_news = question.body.revision > self.replica.revision
+        if address is not None and is_news and not self._pulling:
+            task = asyncio.create_task(self._pull(address))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _remove_lapsed(self) -> None:
+        self.state.remove_lapsed(self.clock.now())
+
+
+def _to_ms(age_s: float) -> int:
+    if age_s * _MS_PER_S >= _AGE_UNKNOWN_MS:
+        return _AGE_UNKNOWN_MS
+    return int(age_s * _MS_PER_S)
--- /dev/null
+++ b/teaselquay/fleet/_store.py
@@ -0,0 +1,37 @@
+"""What a fleet needs of the platform's key-value store."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from returns.result import Result
+
+from teaselquay.configuration import VmRecord
+from teaselquay.decisions import Delta, Revision
+from teaselquay.shells import StoreAway
+
+
+@dataclass(frozen=True, slots=True)
+class HistoryLost:
+    """The store no longer has the changes after the asked revision."""
+
+    since: Revision
+
+
+class SharedStore(Protocol):
+    """The operations on the store."""
+
+    async def read_all(self) -> Result[Delta, StoreAway]:
+        """Return every entry, as the change from an empty store."""
+
+    async def changes(
+        self,
+        since: Revision,
+        wait_s: float,
+    ) -> Result[Delta, StoreAway | HistoryLost]:
+        """Return what was written after `since`.
+
+        Without changes the answer comes after `wait_s` seconds.
+        """
+
+    async def register(self, record: VmRecord) -> Result[None, StoreAway]:
+        """Write where a VM can be found, unless that is known."""
--- /dev/null
+++ b/teaselquay/gateway/_app.py
@@ -0,0 +1,326 @@
+"""Serves one request: checks, admission, dispatch and the answer."""
+
+import json
+from dataclasses import replace
+from hashlib import blake2b
+
+from absl import logging
+
+from teaselquay.configuration import (
+    RouteKind,
+    RouteRule,
+    RoutingTable,
+    TeamRule,
+    choose_service,
+    has_dot_segment,
+)
+from teaselquay.decisions import (
+    Instant,
+    Problem,
+    ProblemKind,
+    RefusedError,
+    Run,
+    problem,
+    refuse,
+)
+from teaselquay.events import Event
+from teaselquay.gateway._body import RequestBody
+from teaselquay.gateway._call import CallResult
+from teaselquay.gateway._dispatch import Dispatch, Errand
+from teaselquay.gateway._parts import GatewayParts
+from teaselquay.pipeline import (
+    CallerGoneError,
+    Exchange,
+    Receive,
+    Scope,
+    Send,
+    check_lengths,
+)
+from teaselquay.shells import BrokenAnswerError
+
+_MS_PER_S = 1000
+_HASH_BYTES = 16
+_UNAVAILABLE = 503
+#: Refusals of requests that did not run keep these statuses. All others
+#: become 503, which tells callers that they may come again.
+_KEPT_STATUSES = frozenset((400, 401, 404, 405, 413, 429, 431))
+#: When a caller of a VM without configuration may come again, in seconds.
+_UNCONFIGURED_RETRY_S = 0.5
+#: When a caller of a VM that stops may come again: at once, to another.
+_STOPPING_RETRY_S = 0.05
+
+
+class GatewayApp:
+    """An ASGI application that serves callers."""
+
+    def __init__(self, parts: GatewayParts) -> None:
+        """Use `parts` for all requests."""
+        self._parts = parts
+
+    async def __call__(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        """Answer one request."""
+        exchange = Exchange(
+            scope=scope,
+            receive=receive,
+            send=send,
+            began=self._parts.clock.now(),
+            method=scope['method'],
+            path=scope['path'],
+            headers=list(scope['headers']),
+            close_after=self._parts.is_stopping,
+        )
+        try:
+            await _Request(exchange, self._parts).serve()
+        finally:
+            self._count(exchange)
+
+    def _count(self, exchange: Exchange) -> None:
+        metrics = self._parts.metrics
+        route = exchange.route_name or 'none'
+        metrics.requests.labels(route=route, status=exchange.status).inc()
+        elapsed_s = self._parts.clock.now() - exchange.began
+        metrics.duration_s.labels(route=route).observe(elapsed_s)
+
+
+class _Request:
+    """One request and how it is served."""
+
+    def __init__(self, exchange: Exchange, parts: GatewayParts) -> None:
+        self._exchange = exchange
+        self._parts = parts
+        self._body: RequestBody | None = None
+        name = exchange.header(parts.dialect.request_id) or b''
+        self._request_id = name.decode('latin-1')
+        self._version = 0
+
+    async def serve(self) -> None:
+        """Answer the request, however it ends.
+
+        Raises:
+            BrokenAnswerError: the answer broke off after its head was sent,
+                so that the connection must be cut.
+        """
+        try:
+            await self._serve()
+        except RefusedError as error:
+            await self._refuse(error.problem)
+        except CallerGoneError:
+            self._parts.journal.emit(
+                Event.REQUEST_ABANDONED,
+                request=self._request_id,
+                after_s=self._elapsed_s(),
+            )
+        except BrokenAnswerError:
+            raise
+        except Exception:
+            logging.exception('gateway: a request met an internal error')
+            if self._exchange.answer_started:
+                raise
+            await self._refuse(problem(ProblemKind.INTERNAL_ERROR))
+        finally:
+            if self._body is not None:
+                self._body.close()
+
+    async def _serve(self) -> None:
+        parts = self._parts
+        if parts.is_closed:
+            refusal = problem(ProblemKind.STOPPING)
+            raise RefusedError(refusal.with_retry_after(_STOPPING_RETRY_S))
+        table = parts.state.table
+        if table is None:
+            refusal = problem(ProblemKind.STALE_CONFIGURATION)
+            raise RefusedError(refusal.with_retry_after(_UNCONFIGURED_RETRY_S))
+        self._version = table.configuration.version
+        self._check_head(table)
+        route = self._find_route(table)
+        team = self._authenticate(table, route)
+        if team is not None:
+            await self._admit(team)
+        errand = await self._errand(table, route, team)
+        call, answer = await Dispatch(errand, parts).run()
+        try:
+            await self._answer(answer)
+        finally:
+            call.release()
+
+    def _check_head(self, table: RoutingTable) -> None:
+        exchange = self._exchange
+        limits = table.configuration.limits
+        octets = sum(len(name) + len(text) for name, text in exchange.headers)
+        if octets + len(exchange.scope['raw_path']) > limits.max_header_bytes:
+            exchange.close_after = True
+            raise refuse(
+                ProblemKind.HEAD_TOO_LARGE,
+                f'the limit is {limits.max_header_bytes} bytes',
+            )
+        check_lengths(exchange)
+        length = exchange.header(b'content-length')
+        if length and int(length) > limits.max_body_bytes:
+            raise refuse(
+                ProblemKind.BODY_TOO_LARGE,
+                f'the limit is {limits.max_body_bytes} bytes',
+            )
+
+    def _find_route(self, table: RoutingTable) -> RouteRule:
+        exchange = self._exchange
+        path = exchange.scope['raw_path'].decode('latin-1')
+        if has_dot_segment(path):
+            raise refuse(
+                ProblemKind.BAD_REQUEST,
+                'the path has a segment of dots',
+            )
+        host = (exchange.header(b'host') or b'').decode('latin-1')
+        route = table.match(host, path)
+        if route is None:
+            raise refuse(ProblemKind.ROUTE_UNKNOWN)
+        exchange.route_name = route.name
+        return route
+
+    def _authenticate(
+        self,
+        table: RoutingTable,
+        route: RouteRule,
+    ) -> TeamRule | None:
+        if route.is_public or not table.configuration.needs_keys:
+            return None
+        name = self._parts.dialect.api_key
+        if self._exchange.header_count(name) > 1:
+            raise refuse(ProblemKind.KEY_DOUBLED)
+        key = self._exchange.header(name)
+        if key is None:
+            raise refuse(ProblemKind.KEY_MISSING)
+        team = table.team_of(key.strip())
+        if team is None:
+            raise refuse(ProblemKind.KEY_UNKNOWN)
+        return team
+
+    async def _admit(self, team: TeamRule) -> None:
+        wait_s = await self._parts.coordinators.admit(team)
+        if wait_s > 0:
+            refusal = problem(ProblemKind.RATE_EXCEEDED)
+            refusal = refusal.with_detail(f'team {team.name}')
+            raise RefusedError(refusal.with_retry_after(wait_s))
+
+    async def _errand(
+        self,
+        table: RoutingTable,
+        route: RouteRule,
+        team: TeamRule | None,
+    ) -> Errand:
+        exchange = self._exchange
+        most_bytes = table.configuration.limits.max_body_bytes
+        self._body = RequestBody(exchange, most_bytes)
+        team_name = team.name if team else ''
+        whole = b''
+        if route.kind is not RouteKind.UPLOAD:
+            # A request that is not idempotent should not begin to run
+            # before its caller has sent all of it.
+            whole = await self._body.read_whole()
+        return Errand(
+            exchange=exchange,
+            body=self._body,
+            route=route,
+            service=choose_service(route, self._parts.random),
+            request_id=self._request_id,
+            deadline=self._deadline(route),
+            fingerprint=_fingerprint(exchange, team_name, whole),
+            team=team_name,
+        )
+
+    def _deadline(self, route: RouteRule) -> Instant:
+        limit_s = route.timeout_s
+        asked = self._exchange.header(self._parts.dialect.deadline_ms)
+        if asked is not None and asked.isdigit():
+            limit_s = min(limit_s, int(asked) / _MS_PER_S)
+        return Instant(self._exchange.began + limit_s)
+
+    async def _answer(self, answer: CallResult) -> None:
+        assert answer.head is not None
+        exchange = self._exchange
+        headers = list(answer.head.headers)
+        if answer.rest is None:
+            headers = [item for item in headers if item[0] != b'content-length']
+            length = str(len(answer.body)).encode()
+            headers.append((b'content-length', length))
+        if exchange.method == 'HEAD':
+            headers = list(answer.head.headers)
+        await exchange.start_answer(answer.head.status, headers)
+        await exchange.send_body(answer.body, more=answer.rest is not None)
+        if answer.rest is not None:
+            async for part in answer.rest:
+                if self._body is not None and self._body.gone.is_set():
+                    raise CallerGoneError
+                await exchange.send_body(part, more=True)
+            await exchange.send_body(b'', more=False)
+
+    async def _refuse(self, refusal: Problem) -> None:
+        if self._exchange.answer_started:
+            return
+        if refusal.run is Run.NOT_RUN:
+            if refusal.status not in _KEPT_STATUSES:
+                refusal = replace(refusal, status=_UNAVAILABLE)
+        self._parts.metrics.refusals.labels(
+            kind=refusal.kind.value,
+            run=refusal.run.value,
+        ).inc()
+        is_refused = refusal.run is Run.NOT_RUN
+        self._parts.journal.emit(
+            Event.REQUEST_REFUSED if is_refused else Event.REQUEST_FAILED,
+            request=self._request_id,
+            route=self._exchange.route_name,
+            problem=refusal.kind.value,
+            status=refusal.status,
+            run=refusal.run.value,
+            detail=refusal.detail,
+            retry_after_s=refusal.retry_after_s,
+            after_s=self._elapsed_s(),
+            configuration=self._version,
+            configuration_age_s=round(self._parts.replication.age_s(), 3),
+        )
+        await self._send_refusal(refusal)
+
+    async def _send_refusal(self, refusal: Problem) -> None:
+        exchange = self._exchange
+        document = json.dumps(refusal.to_document()).encode()
+        headers = [
+            (b'content-type', b'application/problem+json'),
+            (b'content-length', str(len(document)).encode()),
+        ]
+        if exchange.header(self._parts.dialect.request_id) is not None:
+            headers.append(
+                (self._parts.dialect.request_id, self._request_id.encode()),
+            )
+        if refusal.retry_after_s is not None:
+            seconds = f'{refusal.retry_after_s:.2f}'
+            headers.append((b'retry-after', seconds.encode()))
+        is_read = self._body is None or self._body.is_complete
+        if exchange.has_body() and not (is_read and self._body):
+            # The rest of the body will not be read.
+            exchange.close_after = True
+        await exchange.start_answer(refusal.status, headers)
+        await exchange.send_body(document, more=False)
+
+    def _elapsed_s(self) -> float:
+        return round(self._parts.clock.now() - self._exchange.began, 4)
+
+
+def _fingerprint(exchange: Exchange, team: str, body: bytes) -> bytes:
+    """Return what makes two requests the same for quarantine."""
+    digest = blake2b(digest_size=_HASH_BYTES)
+    length = exchange.header(b'content-length') or b''
+    for part in (
+        team.encode(),
+        exchange.method.encode(),
+        exchange.scope['raw_path'],
+        exchange.scope['query_string'],
+        length,
+        body,
+    ):
+        digest.update(len(part).to_bytes(_HASH_BYTES, 'big'))
+        digest.update(part)
+    return digest.digest()
--- /dev/null
+++ b/teaselquay/gateway/_call.py
@@ -0,0 +1,286 @@
+"""One attempt of a request at one upstream."""
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import AsyncIterator
+
+from teaselquay.configuration import UpstreamRecord
+from teaselquay.coordination import Outcome
+from teaselquay.decisions import Instant
+from teaselquay.gateway._body import RequestBody
+from teaselquay.gateway._dialect import Dialect
+from teaselquay.pipeline import Exchange
+from teaselquay.shells import (
+    Address,
+    AnswerHead,
+    BrokenAnswerError,
+    Clock,
+    ConnectError,
+    ConnectionPool,
+    HttpConnection,
+)
+
+#: Time to open a connection, in seconds: many round trips inside a region.
+_CONNECT_TIMEOUT_S = 0.6
+#: Part of an answer that is read before its head goes to the caller, so
+#: that a broken one can be replaced.
+_MOST_HELD_BYTES = 1 << 20
+_MS_PER_S = 1000
+_FIRST_SERVER_ERROR = 500
+_MISDIRECTED = 421
+#: Fields that concern one connection, or that a proxy sets itself.
+_NOT_FORWARDED = frozenset(
+    (
+        b'connection',
+        b'content-length',
+        b'expect',
+        b'host',
+        b'keep-alive',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+    ),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class CallTarget:
+    """Where an attempt goes, and how long it may take."""
+
+    upstream: UpstreamRecord
+    deadline: Instant
+    use_pool: bool
+    team: str = ''
+
+
+@dataclass(slots=True)
+class CallResult:
+    """How an attempt ended.
+
+    `may_have_run` is false only if the upstream surely did not run it.
+    `rest` yields what follows the held part of a long answer.
+    """
+
+    outcome: Outcome
+    may_have_run: bool
+    reason: str = ''
+    head: AnswerHead | None = None
+    body: bytes = b''
+    rest: AsyncIterator[bytes] | None = None
+
+
+@dataclass(slots=True)
+class UpstreamCall:
+    """Sends a request on a connection of its own, and judges the answer."""
+
+    exchange: Exchange
+    body: RequestBody
+    target: CallTarget
+    dialect: Dialect
+    pool: ConnectionPool
+    clock: Clock
+    connection: HttpConnection | None = None
+    is_reused: bool = False
+    began: Instant = Instant(0.0)
+    _sender: 'asyncio.Task[None] | None' = None
+    _held: list[bytes] = field(default_factory=list)
+
+    async def run(self) -> CallResult:
+        """Return how the attempt ended.
+
+        Raises:
+            CallerGoneError: the caller left before its body was complete.
+            RefusedError: the body is larger than the limit.
+        """
+        self.began = self.clock.now()
+        try:
+            self.connection = await self._connect()
+        except ConnectError as error:
+            return CallResult(Outcome.UNREACHABLE, False, str(error))
+        try:
+            return await self._exchange()
+        except BrokenAnswerError as error:
+            return CallResult(
+                Outcome.BROKEN,
+                self.connection.sent,
+                str(error),
+            )
+
+    def release(self) -> None:
+        """Keep the connection if its exchange ended whole, or close it.
+
+        Later calls do nothing.
+        """
+        connection = self.connection
+        self.connection = None
+        sender_done = self._sender is None or self._sender.done()
+        if self._sender is not None and not sender_done:
+            self._sender.cancel()
+        if connection is None:
+            return
+        if not sender_done:
+            # The rest of the body is still due on this connection.
+            connection.close()
+            return
+        address = Address.parse(self.target.upstream.address)
+        self.pool.give_back(address, connection, self.clock.now())
+
+    def abort(self) -> None:
+        """Close the connection, which cancels the work of most upstreams."""
+        if self._sender is not None:
+            self._sender.cancel()
+        if self.connection is not None:
+            self.connection.close()
+
+    async def _connect(self) -> HttpConnection:
+        address = Address.parse(self.target.upstream.address)
+        if self.target.use_pool:
+            pooled = self.pool.take(address, self.clock.now())
+            if pooled is not None:
+                self.is_reused = True
+                return pooled
+        left_s = self.target.deadline - self.clock.now()
+        return await HttpConnection.open(
+            address,
+            max(0, min(_CONNECT_TIMEOUT_S, left_s)),
+        )
+
+    async def _exchange(self) -> CallResult:
+        assert self.connection is not None
+        self.connection.begin(self.exchange.method)
+        self._sender = asyncio.create_task(self._send())
+        head = await self._wait_for_head()
+        declined = self._declined(head)
+        if declined is not None:
+            return declined
+        fault = self._fault(head)
+        if fault:
+            self.connection.close()
+            return CallResult(Outcome.BROKEN, True, fault)
+        return await self._read_answer(head)
+
+    async def _wait_for_head(self) -> AnswerHead:
+        assert self.connection is not None
+        assert self._sender is not None
+        head = self.connection.head
+        await asyncio.wait(
+            (head, self._sender),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        if not head.done():
+            # Raises what ended the sending early.
+            self._sender.result()
+        return await asyncio.shield(head)
+
+    async def _send(self) -> None:
+        assert self.connection is not None
+        left_s = self.target.deadline - self.clock.now()
+        head = self._head(left_s)
+        if not self.exchange.has_body():
+            await self.connection.write(head)
+            return
+        is_chunked = self.exchange.header(b'content-length') is None
+        if not self.body.is_complete:
+            await self.connection.write(head)
+            head = b''
+        async for part in self.body.stream():
+            if part:
+                framed = b'%x\r\n%b\r\n' % (len(part), part)
+                await self.connection.write(
+                    head + (framed if is_chunked else part),
+                )
+                head = b''
+        if is_chunked or head:
+            end = b'0\r\n\r\n' if is_chunked else b''
+            await self.connection.write(head + end)
+
+    def _head(self, left_s: float) -> bytes:
+        exchange = self.exchange
+        target = exchange.scope['raw_path']
+        if exchange.scope['query_string']:
+            target = target + b'?' + exchange.scope['query_string']
+        dialect = self.dialect
+        upstream = self.target.upstream.name.encode()
+        lines = [
+            b'%b %b HTTP/1.1' % (exchange.method.encode(), target),
+            b'host: ' + (exchange.header(b'host') or b''),
+            b'%b: %d' % (dialect.deadline_ms, max(1, int(left_s * _MS_PER_S))),
+            b'%b: %b' % (dialect.expected_upstream, upstream),
+        ]
+        if self.target.team:
+            team = self.target.team.encode()
+            lines.append(b'%b: %b' % (dialect.team, team))
+        own = {
+            dialect.deadline_ms,
+            dialect.expected_upstream,
+            dialect.team,
+            dialect.api_key,
+        }
+        left_out = _NOT_FORWARDED | own | _connection_fields(exchange)
+        lines.extend(
+            b'%b: %b' % (name, field_value)
+            for name, field_value in exchange.headers
+            if name not in left_out
+        )
+        length = exchange.header(b'content-length')
+        if length is not None:
+            lines.append(b'content-length: ' + length)
+        elif exchange.has_body():
+            lines.append(b'transfer-encoding: chunked')
+        return b'\r\n'.join(lines) + b'\r\n\r\n'
+
+    def _declined(self, head: AnswerHead) -> CallResult | None:
+        """Return the result if the upstream says that it ran nothing."""
+        if head.status == _MISDIRECTED:
+            outcome = Outcome.MISDIRECTED
+        elif _field(head, self.dialect.not_executed) is not None:
+            outcome = Outcome.SHED
+        else:
+            return None
+        assert self.connection is not None
+        self.connection.close()
+        return CallResult(outcome, False, f'status {head.status}', head)
+
+    def _fault(self, head: AnswerHead) -> str:
+        """Return why `head` is not this request's answer, if so."""
+        sent = self.exchange.header(self.dialect.request_id)
+        echoed = _field(head, self.dialect.request_id)
+        if sent is not None and echoed is not None and echoed != sent:
+            return 'the answer belongs to another request'
+        if _field(head, b'content-encoding') is not None:
+            return 'the body is encoded though nobody asked for it'
+        is_stamped = _field(head, self.dialect.stamp) is not None
+        if not is_stamped:
+            return f'status {head.status} without the stamp of an upstream'
+        return ''
+
+    async def _read_answer(self, head: AnswerHead) -> CallResult:
+        assert self.connection is not None
+        outcome = Outcome.SERVED
+        if head.status >= _FIRST_SERVER_ERROR:
+            outcome = Outcome.FAILED
+        parts = self.connection.read_body()
+        held = 0
+        async for part in parts:
+            self._held.append(part)
+            held += len(part)
+            if held > _MOST_HELD_BYTES and outcome is Outcome.SERVED:
+                body = b''.join(self._held)
+                return CallResult(outcome, True, '', head, body, parts)
+        body = b''.join(self._held)
+        return CallResult(outcome, True, f'status {head.status}', head, body)
+
+
+def _field(head: AnswerHead, name: bytes) -> bytes | None:
+    for found, field_value in head.headers:
+        if found == name:
+            return field_value
+    return None
+
+
+def _connection_fields(exchange: Exchange) -> set[bytes]:
+    """Return the fields that the caller declares to be for one hop."""
+    named = exchange.header(b'connection') or b''
+    return {name.strip().lower() for name in named.split(b',')}
--- /dev/null
+++ b/teaselquay/gateway/_dispatch.py
@@ -0,0 +1,371 @@
+"""The attempts of one request: placement, second sends and hedges."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from teaselquay.configuration import RouteRule
+from teaselquay.coordination import (
+    Outcome,
+    Placement,
+    PlacementRefusal,
+    PlacementRequest,
+    RefusalReason,
+    Ticket,
+)
+from teaselquay.decisions import (
+    Instant,
+    Problem,
+    ProblemKind,
+    RefusedError,
+    Run,
+    ServiceName,
+    UpstreamName,
+    problem,
+)
+from teaselquay.events import Event
+from teaselquay.fleet import Finished
+from teaselquay.gateway._body import RequestBody
+from teaselquay.gateway._call import CallResult, CallTarget, UpstreamCall
+from teaselquay.gateway._parts import GatewayParts
+from teaselquay.pipeline import CallerGoneError, Exchange
+
+#: A hedge is sent when an answer takes this many times the usual.
+_HEDGE_FACTOR = 2.5
+#: Part of the target latency after which a hedge may be sent.
+_HEDGE_TARGET_SHARE = 0.75
+#: Addresses that may turn out unreachable or stale for one request.
+_MOST_UNSENT = 4
+_DECLINED = frozenset((Outcome.SHED, Outcome.MISDIRECTED, Outcome.UNREACHABLE))
+_KINDS = {
+    RefusalReason.NO_UPSTREAM: ProblemKind.NO_UPSTREAM,
+    RefusalReason.OVERLOADED: ProblemKind.QUEUE_TIMEOUT,
+    RefusalReason.REPEAT_BUDGET: ProblemKind.QUEUE_TIMEOUT,
+    RefusalReason.QUARANTINED: ProblemKind.REQUEST_QUARANTINED,
+}
+#: When a request that no upstream took may come again, in seconds.
+_RETURN_S = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class Errand:
+    """What is to be done: a request with everything known about it."""
+
+    exchange: Exchange
+    body: RequestBody
+    route: RouteRule
+    service: ServiceName
+    request_id: str
+    deadline: Instant
+    fingerprint: bytes = b''
+    team: str = ''
+
+
+@dataclass(slots=True)
+class _Running:
+    call: UpstreamCall
+    ticket: Ticket
+    task: 'asyncio.Task[CallResult]'
+
+
+@dataclass(slots=True)
+class Dispatch:
+    """Sends one request to upstreams until one answer is good enough.
+
+    A request that is not idempotent is sent again only if the upstream
+    before surely did not run it.
+    """
+
+    errand: Errand
+    parts: GatewayParts
+    _running: list[_Running] = field(default_factory=list)
+    _tried: set[UpstreamName] = field(default_factory=set)
+    _sent: int = 0
+    _unsent: int = 0
+    _may_have_run: bool = False
+    _may_hedge: bool = True
+    _last: tuple[UpstreamCall, CallResult] | None = None
+
+    async def run(self) -> tuple[UpstreamCall, CallResult]:
+        """Return the call whose answer goes to the caller.
+
+        Raises:
+            CallerGoneError: the caller left.
+            RefusedError: no answer can be given.
+        """
+        gone = asyncio.create_task(self.errand.body.gone.wait())
+        try:
+            while True:
+                found = await self._start() if not self._running else None
+                if found is None:
+                    found = await self._wait(gone)
+                if found is not None:
+                    return found
+        finally:
+            gone.cancel()
+            self._abort_all()
+
+    async def _start(self) -> tuple[UpstreamCall, CallResult] | None:
+        """Start one attempt, or return the last upstream's failure.
+
+        Raises:
+            RefusedError: there is neither.
+        """
+        placed = await self._place()
+        if not isinstance(placed, PlacementRefusal):
+            self._begin(*placed)
+            return None
+        if self._last is None:
+            raise self._refusal(placed)
+        return self._last
+
+    async def _place(
+        self,
+    ) -> tuple[Placement, Ticket] | PlacementRefusal:
+        """Return where the next attempt goes, as this VM may use it."""
+        parts = self.parts
+        while True:
+            ticket = parts.coordinators.new_ticket()
+            request = self._placement_request(ticket)
+            placed = await parts.coordinators.place(
+                self.errand.service,
+                request,
+            )
+            if isinstance(placed, PlacementRefusal):
+                return placed
+            if parts.state.is_usable(placed.upstream):
+                return placed, ticket
+            # This VM has seen it leave before the coordinator did.
+            self._tried.add(placed.upstream)
+            self._finish(ticket, placed.upstream, Outcome.CANCELLED, 0)
+            if parts.clock.now() >= self.errand.deadline:
+                return PlacementRefusal(RefusalReason.NO_UPSTREAM, _RETURN_S)
+
+    def _placement_request(self, ticket: Ticket) -> PlacementRequest:
+        errand = self.errand
+        now = self.parts.clock.now()
+        elapsed_s = now - errand.exchange.began
+        length = errand.exchange.header(b'content-length') or b'0'
+        avoided = self.parts.unreachable.names(now)
+        return PlacementRequest(
+            ticket=ticket,
+            zone=self.parts.settings.zone,
+            is_idempotent=errand.route.is_idempotent,
+            left_s=errand.deadline - now,
+            target_left_s=errand.route.target_latency_s - elapsed_s,
+            octets=int(length) + self.parts.answer_bytes,
+            is_repeat=self._sent > 0,
+            excluded=frozenset(self._tried | avoided),
+            fingerprint=errand.fingerprint,
+        )
+
+    def _begin(self, placement: Placement, ticket: Ticket) -> None:
+        errand = self.errand
+        upstream = self.parts.state.upstreams_by_name[placement.upstream]
+        target = CallTarget(
+            upstream=upstream,
+            deadline=errand.deadline,
+            use_pool=errand.route.is_idempotent and not self._sent,
+            team=errand.team,
+        )
+        call = UpstreamCall(
+            errand.exchange,
+            errand.body,
+            target,
+            self.parts.dialect,
+            self.parts.pool,
+            self.parts.clock,
+            began=self.parts.clock.now(),
+        )
+        self._tried.add(upstream.name)
+        self._sent += 1
+        task = asyncio.create_task(call.run())
+        self._running.append(_Running(call, ticket, task))
+
+    async def _wait(
+        self,
+        gone: 'asyncio.Task[bool]',
+    ) -> tuple[UpstreamCall, CallResult] | None:
+        """Return an answer to pass on, or None if there is none yet."""
+        waits: list[asyncio.Task[object]] = [
+            running.task for running in self._running
+        ]  # type: ignore[assignment]
+        await asyncio.wait(
+            (*waits, gone),
+            timeout=self._wait_s(),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        done = [running for running in self._running if running.task.done()]
+        for running in done:
+            self._running.remove(running)
+            found = self._take(running)
+            if found is not None:
+                return found
+        if gone.done():
+            raise CallerGoneError
+        if self.parts.clock.now() >= self.errand.deadline:
+            self._time_out()
+        if not done:
+            await self._hedge()
+        return None
+
+    def _wait_s(self) -> float:
+        now = self.parts.clock.now()
+        left_s = self.errand.deadline - now
+        if self._can_hedge():
+            hedge_at = self._running[-1].call.began + self._hedge_s()
+            left_s = min(left_s, hedge_at - now)
+        return max(0, left_s)
+
+    def _hedge_s(self) -> float:
+        scheduler = self.parts.coordinators.scheduler(self.errand.service)
+        target_s = self.errand.route.target_latency_s
+        return max(
+            _HEDGE_FACTOR * scheduler.mean_s,
+            _HEDGE_TARGET_SHARE * target_s,
+        )
+
+    def _can_hedge(self) -> bool:
+        return (
+            self._may_hedge
+            and bool(self._running)
+            and self.errand.route.is_idempotent
+            and self.errand.body.can_replay
+            and self._sent < self.errand.route.max_attempts
+        )
+
+    async def _hedge(self) -> None:
+        if not self._can_hedge():
+            return
+        for running in self._running:
+            if running.call.is_reused:
+                # The path may have gone silent, and so its siblings.
+                self.parts.drop_connections(running.call.target.upstream)
+        placed = await self._place()
+        if isinstance(placed, PlacementRefusal):
+            self._may_hedge = False
+            return
+        self._log(Event.REQUEST_REPEATED, cause='slow', placed=placed[0])
+        self._begin(*placed)
+
+    def _take(
+        self,
+        running: _Running,
+    ) -> tuple[UpstreamCall, CallResult] | None:
+        """Return the answer if it goes to the caller, None to go on."""
+        call = running.call
+        result = running.task.result()
+        upstream = call.target.upstream
+        took_s = self.parts.clock.now() - call.began
+        self._finish(running.ticket, upstream.name, result.outcome, took_s)
+        if result.outcome is Outcome.SERVED:
+            return call, result
+        self._log(
+            Event.ATTEMPT_FAILED,
+            upstream=upstream.name,
+            outcome=result.outcome.value,
+            may_have_run=result.may_have_run,
+            reason=result.reason,
+            took_s=round(took_s, 3),
+            reused=call.is_reused,
+        )
+        self._may_have_run = self._may_have_run or result.may_have_run
+        if result.outcome is Outcome.UNREACHABLE:
+            self._sent -= 1
+            self._unsent += 1
+            self.parts.unreachable.add(upstream.name, self.parts.clock.now())
+        if result.outcome is Outcome.FAILED:
+            self._last = (call, result)
+            if not self._may_repeat(result):
+                return call, result
+        call.release()
+        if not self._running and not self._may_repeat(result):
+            raise self._failure(result)
+        return None
+
+    def _may_repeat(self, result: CallResult) -> bool:
+        if not self.errand.body.can_replay:
+            return False
+        if self._sent >= max(1, self.errand.route.max_attempts):
+            return False
+        if self._unsent >= _MOST_UNSENT:
+            return False
+        if self.parts.clock.now() >= self.errand.deadline:
+            return False
+        return self.errand.route.is_idempotent or not self._may_have_run
+
+    def _failure(self, result: CallResult) -> RefusedError:
+        """Return the error for a request that is not tried again."""
+        if result.outcome in _DECLINED and not self._may_have_run:
+            refusal = problem(ProblemKind.CONNECT_FAILED)
+            return RefusedError(
+                refusal.with_detail(result.reason).with_retry_after(_RETURN_S),
+            )
+        refusal = problem(ProblemKind.UPSTREAM_FAILED)
+        return RefusedError(
+            refusal.with_detail(result.reason).with_run(Run.UNKNOWN),
+        )
+
+    def _refusal(self, placed: PlacementRefusal) -> RefusedError:
+        refusal: Problem = problem(_KINDS[placed.reason])
+        refusal = refusal.with_retry_after(placed.retry_after_s)
+        if self._may_have_run:
+            refusal = problem(ProblemKind.UPSTREAM_FAILED)
+            refusal = refusal.with_detail(placed.reason.value)
+            refusal = refusal.with_run(Run.UNKNOWN)
+        return RefusedError(refusal)
+
+    def _time_out(self) -> None:
+        refusal = problem(ProblemKind.DEADLINE_EXCEEDED)
+        if self._sent or self._may_have_run:
+            raise RefusedError(refusal.with_run(Run.UNKNOWN))
+        raise RefusedError(refusal.with_run(Run.NOT_RUN))
+
+    def _abort_all(self) -> None:
+        now = self.parts.clock.now()
+        is_late = now >= self.errand.deadline
+        for running in self._running:
+            running.task.cancel()
+            running.call.abort()
+            outcome = Outcome.TIMED_OUT if is_late else Outcome.CANCELLED
+            took_s = now - running.call.began
+            self._finish(
+                running.ticket,
+                running.call.target.upstream.name,
+                outcome,
+                took_s,
+            )
+        self._running.clear()
+
+    def _finish(
+        self,
+        ticket: Ticket,
+        upstream: UpstreamName,
+        outcome: Outcome,
+        took_s: float,
+    ) -> None:
+        errand = self.errand
+        metrics = self.parts.metrics
+        metrics.attempts.labels(
+            service=errand.service,
+            outcome=outcome.value,
+        ).inc()
+        self.parts.coordinators.finish(
+            Finished(
+                errand.service,
+                ticket,
+                upstream,
+                outcome,
+                took_s,
+                errand.fingerprint,
+            ),
+        )
+
+    def _log(self, event: Event, **fields: object) -> None:
+        self.parts.journal.emit(
+            event,
+            request=self.errand.request_id,
+            route=self.errand.route.name,
+            service=self.errand.service,
+            sent=self._sent,
+            **fields,
+        )
--- /dev/null
+++ b/teaselquay/gateway/_parts.py
@@ -0,0 +1,60 @@
+"""What the requests of one process share."""
+
+from dataclasses import dataclass, field
+from random import Random
+
+from teaselquay.configuration import UpstreamRecord
+from teaselquay.decisions import Instant, UpstreamName
+from teaselquay.events import Journal
+from teaselquay.fleet import Coordinators, FleetState, Replication
+from teaselquay.gateway._dialect import Dialect
+from teaselquay.gateway._settings import GatewaySettings
+from teaselquay.shells import Address, Clock, ConnectionPool, Metrics
+
+#: How long a VM avoids an upstream that it could not reach, in seconds.
+_AVOID_S = 3.0
+#: Size of an answer before any was measured, in bytes.
+_ANSWER_BYTES = 5000
+
+
+@dataclass(slots=True)
+class Unreachable:
+    """Upstreams that this VM could not connect to a short time ago."""
+
+    _until: dict[UpstreamName, Instant] = field(default_factory=dict)
+
+    def add(self, name: UpstreamName, now: Instant) -> None:
+        """Avoid `name` for a while."""
+        self._until[name] = Instant(now + _AVOID_S)
+
+    def names(self, now: Instant) -> frozenset[UpstreamName]:
+        """Return the upstreams to avoid."""
+        for name in [up for up, until in self._until.items() if now >= until]:
+            del self._until[name]
+        return frozenset(self._until)
+
+
+@dataclass(slots=True)
+class GatewayParts:
+    """Everything that requests use."""
+
+    settings: GatewaySettings
+    dialect: Dialect
+    state: FleetState
+    replication: Replication
+    coordinators: Coordinators
+    pool: ConnectionPool
+    metrics: Metrics
+    journal: Journal
+    clock: Clock
+    random: Random
+    unreachable: Unreachable = field(default_factory=Unreachable)
+    #: Usual size of an answer in bytes.
+    answer_bytes: int = _ANSWER_BYTES
+    is_stopping: bool = False
+    #: Whether requests are refused because the process ends soon.
+    is_closed: bool = False
+
+    def drop_connections(self, upstream: UpstreamRecord) -> None:
+        """Close the idle connections to `upstream`."""
+        self.pool.drop(Address.parse(upstream.address))
--- /dev/null
+++ b/teaselquay/gateway/_process.py
@@ -0,0 +1,273 @@
+"""Assembles and runs one VM of the gateway."""
+
+import asyncio
+import signal
+import socket
+from random import Random, SystemRandom
+
+import uvicorn
+from prometheus_client import generate_latest
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import PlainTextResponse, Response
+from starlette.routing import Route as Path
+
+from teaselquay.configuration import VmRecord
+from teaselquay.decisions import Incarnation
+from teaselquay.events import Event, Journal
+from teaselquay.fleet import (
+    Coordinators,
+    Decoder,
+    Directory,
+    FleetState,
+    Replication,
+    SharedStore,
+)
+from teaselquay.gateway._app import GatewayApp
+from teaselquay.gateway._dialect import Dialect
+from teaselquay.gateway._parts import GatewayParts
+from teaselquay.gateway._settings import GatewaySettings
+from teaselquay.server import BoundedHttpProtocol, SignalFreeServer, bind
+from teaselquay.shells import (
+    Address,
+    Codec,
+    ConnectionPool,
+    DatagramLink,
+    Metrics,
+    SystemClock,
+    TimerService,
+)
+
+_READY_PERIOD_S = 0.25
+_ANNOUNCE_PERIOD_S = 1.0
+#: Times that a VM announces itself, since datagrams are lost.
+_ANNOUNCEMENTS = 3
+#: A VM that heard of nobody for so long takes itself out of rotation.
+_ISOLATED_S = 2.5
+#: Parts of the grace period: until then new requests are taken after
+#: SIGTERM, since balancers need two seconds to notice; until then open ones
+#: may end.
+_ACCEPT_PART = 0.4
+_END_PART = 0.93
+#: Shortest time to stay after SIGTERM in seconds, for callers on the way.
+_LEAST_STAY_S = 2.2
+_POLL_S = 0.05
+#: Idle time beyond what callers are told, so that the caller closes first.
+_IDLE_MARGIN_S = 1.0
+
+
+class GatewayProcess:
+    """All parts of one VM, and its life from start to stop."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        dialect: Dialect,
+        store: SharedStore,
+        decoder: Decoder,
+        journal: Journal,
+        fleet_key: bytes,
+    ) -> None:
+        """Assemble the parts without starting them."""
+        random: Random = SystemRandom()
+        clock = SystemClock()
+        incarnation = Incarnation(journal.incarnation)
+        self._journal = journal
+        self._settings = settings
+        self._link = DatagramLink(settings.vm, incarnation, Codec(fleet_key))
+        self._timers = TimerService(random)
+        directory = Directory(
+            settings.vm,
+            settings.zone,
+            journal,
+            seeds=settings.seeds,
+        )
+        state = FleetState(decoder, journal)
+        host, port = settings.peer
+        replication = Replication(
+            VmRecord(settings.vm, f'{host}:{port}', settings.zone),
+            store,
+            self._link,
+            directory,
+            state,
+            clock,
+            random,
+            journal,
+        )
+        coordinators = Coordinators(
+            settings.vm,
+            self._link,
+            directory,
+            state,
+            clock,
+            random,
+            journal,
+            settings.repeat_policy(),
+            is_serving=self.is_ready,
+        )
+        self._directory = directory
+        self._parts = GatewayParts(
+            settings=settings,
+            dialect=dialect,
+            state=state,
+            replication=replication,
+            coordinators=coordinators,
+            pool=ConnectionPool(),
+            metrics=Metrics(),
+            journal=journal,
+            clock=clock,
+            random=random,
+        )
+        self._callers = _server(GatewayApp(self._parts))
+        self._was_ready = False
+        state.subscribe(self._apply_limits)
+
+    def is_ready(self) -> bool:
+        """Return whether this VM should get new callers."""
+        parts = self._parts
+        if parts.is_stopping or parts.state.table is None:
+            return False
+        return not self._is_isolated()
+
+    def reload(self, settings: GatewaySettings) -> None:
+        """Take over settings that may change while the process runs."""
+        self._settings = settings
+        self._parts.settings = settings
+        self._directory.seeds = settings.seeds
+        self._journal.emit(Event.RELOADED, zone=settings.zone)
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, and end within the grace period.
+
+        Raises:
+            OSError: an address cannot be bound.
+        """
+        stop = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stop.set)
+        await self._link.open(self._settings.peer)
+        control = _server(self._control_app())
+        serving = [
+            asyncio.create_task(
+                self._callers.serve([_bound(self._settings.callers)]),
+            ),
+            asyncio.create_task(
+                control.serve(
+                    [
+                        _bound(self._settings.ready),
+                        _bound(self._settings.metrics),
+                    ],
+                ),
+            ),
+        ]
+        self._parts.replication.start(self._timers)
+        self._parts.coordinators.start(self._timers)
+        self._timers.subscribe('ready', _READY_PERIOD_S, self._follow_ready)
+        self._journal.emit(Event.STARTED, zone=self._settings.zone)
+        await stop.wait()
+        await self._drain()
+        self._callers.should_exit = True
+        self._callers.force_exit = True
+        control.should_exit = True
+        control.force_exit = True
+        await asyncio.gather(*serving)
+        self._timers.stop()
+        self._link.close()
+        self._parts.pool.close()
+        self._journal.emit(Event.STOPPED)
+
+    async def _drain(self) -> None:
+        """Tell everyone, and wait for open requests."""
+        parts = self._parts
+        began = parts.clock.now()
+        grace_s = self._settings.grace_s
+        parts.is_stopping = True
+        self._journal.emit(Event.STOPPING, open_requests=self._open())
+        parts.coordinators.announce(is_serving=False)
+        while True:
+            elapsed_s = parts.clock.now() - began
+            if elapsed_s >= grace_s * _ACCEPT_PART:
+                parts.is_closed = True
+            if elapsed_s >= grace_s * _END_PART:
+                return
+            if elapsed_s >= _LEAST_STAY_S and not self._open():
+                return
+            await asyncio.sleep(_POLL_S)
+
+    def _open(self) -> int:
+        return len(self._callers.server_state.tasks)
+
+    def _is_isolated(self) -> bool:
+        silent_s = self._parts.clock.now() - self._directory.last_contact
+        return bool(self._directory.others()) and silent_s > _ISOLATED_S
+
+    async def _follow_ready(self) -> None:
+        is_ready = self.is_ready()
+        if is_ready == self._was_ready:
+            return
+        self._was_ready = is_ready
+        self._journal.emit(
+            Event.READY_CHANGED,
+            is_ready=is_ready,
+            has_configuration=self._parts.state.table is not None,
+            is_isolated=self._is_isolated(),
+        )
+        if is_ready:
+            self._timers.subscribe_some(
+                'announce',
+                _ANNOUNCE_PERIOD_S,
+                self._announce,
+                _ANNOUNCEMENTS,
+            )
+
+    async def _announce(self) -> None:
+        if self.is_ready():
+            self._parts.coordinators.announce(is_serving=True)
+
+    def _apply_limits(self) -> None:
+        table = self._parts.state.table
+        if table is None:
+            return
+        limits = table.configuration.limits
+        idle_s = limits.idle_timeout_s + _IDLE_MARGIN_S
+        if idle_s == self._callers.config.timeout_keep_alive:
+            return
+        self._callers.config.timeout_keep_alive = idle_s  # type: ignore
+        for connection in self._callers.server_state.connections:
+            connection.timeout_keep_alive = idle_s  # type: ignore
+
+    def _control_app(self) -> Starlette:
+        async def ready(_: Request) -> Response:
+            status = 200 if self.is_ready() else 503
+            return PlainTextResponse('', status)
+
+        async def metrics(_: Request) -> Response:
+            self._parts.metrics.freshness_s.set(
+                self._parts.replication.age_s(),
+            )
+            return Response(generate_latest(self._parts.metrics.registry))
+
+        return Starlette(
+            routes=[Path('/ready', ready), Path('/metrics', metrics)],
+        )
+
+
+def _server(app: object) -> SignalFreeServer:
+    config = uvicorn.Config(
+        app,  # type: ignore[arg-type]
+        loop='asyncio',
+        http=BoundedHttpProtocol,
+        ws='none',
+        lifespan='off',
+        log_config=None,
+        access_log=False,
+        server_header=False,
+        date_header=False,
+        proxy_headers=False,
+    )
+    return SignalFreeServer(config)
+
+
+def _bound(address: Address) -> socket.socket:
+    return bind(f'{address.host}:{address.port}')
--- a/teaselquay/pipeline/_filters.py
+++ b/teaselquay/pipeline/_filters.py
@@ -57,6 +57,15 @@
             ProblemKind.HEAD_TOO_LARGE,
             f'expected {MOST_HEAD_BYTES} bytes at most',
         )
+    check_lengths(exchange)
+
+
+def check_lengths(exchange: Exchange) -> None:
+    """Refuse requests whose length or host can be read in two ways.
+
+    Raises:
+        RefusedError: there is more than one way.
+    """
     lengths = exchange.header_count(b'content-length')
     codings = exchange.header_count(b'transfer-encoding')
     if lengths > 1 or codings > 1 or (lengths and codings):
--- /dev/null
+++ b/teaselquay/platform/__main__.py
@@ -0,0 +1,166 @@
+"""The command line on the users' platform."""
+
+import asyncio
+import logging as std_logging
+import os
+import signal
+import sys
+import time
+from pathlib import Path
+
+import click
+from absl import logging
+from returns.result import Success
+
+from teaselquay.decisions import WallTime
+from teaselquay.events import Event, Journal, LineWriter
+from teaselquay.gateway import GatewayProcess
+from teaselquay.platform._decoding import PlatformDecoder
+from teaselquay.platform._settings import (
+    DIALECT,
+    NodeSettings,
+    read_settings,
+)
+from teaselquay.platform._store import PlatformStore
+
+_VARIABLE = 'TEASELQUAY_SETTINGS'
+_EXIT_SETTINGS = 2
+_EXIT_ADDRESS = 3
+_MICROSECONDS = 1_000
+#: How often the settings file is looked at, in seconds: changes without a
+#: signal are then in force well within what the platform allows.
+_FILE_PERIOD_S = 0.5
+
+
+@click.group()
+def main() -> None:
+    """Run the gateway on the users' platform."""
+
+
+@main.command()
+@click.option(
+    '--settings',
+    envvar=_VARIABLE,
+    required=True,
+    type=click.Path(path_type=Path),
+    help=f'The settings file; {_VARIABLE} names it otherwise.',
+)
+def check(settings: Path) -> None:
+    """Check the settings file and start nothing."""
+    _settings_or_exit(settings)
+    click.echo(f'{settings}: good')
+
+
+@main.command()
+@click.option(
+    '--settings',
+    envvar=_VARIABLE,
+    required=True,
+    type=click.Path(path_type=Path),
+    help=f'The settings file; {_VARIABLE} names it otherwise.',
+)
+def serve(settings: Path) -> None:
+    """Serve until SIGTERM.
+
+    Exits with 0 after a drain, 2 for faulty settings and 3 if an address
+    cannot be bound.
+    """
+    node = _settings_or_exit(settings)
+    journal = Journal(
+        node.node_name,
+        time.time_ns() // _MICROSECONDS,
+        lambda: WallTime(time.time()),
+        LineWriter(sys.stdout.fileno()).write,
+    )
+    _log_to(journal)
+    try:
+        asyncio.run(_serve(node, settings, journal))
+    except OSError as error:
+        click.echo(f'cannot listen: {error}', err=True)
+        sys.exit(_EXIT_ADDRESS)
+
+
+async def _serve(node: NodeSettings, path: Path, journal: Journal) -> None:
+    process = GatewayProcess(
+        node.to_gateway(),
+        DIALECT,
+        PlatformStore(node.store_address()),
+        PlatformDecoder(),
+        journal,
+        # Tells fleets apart that share a network; it is not a secret.
+        node.platform.address.encode(),
+    )
+    watcher = _SettingsWatcher(path, process, journal)
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGHUP, watcher.reload)
+    watching = asyncio.create_task(watcher.watch())
+    try:
+        await process.run()
+    finally:
+        watching.cancel()
+
+
+class _SettingsWatcher:
+    """Reads the settings again when they change, or when asked to."""
+
+    def __init__(
+        self,
+        path: Path,
+        process: GatewayProcess,
+        journal: Journal,
+    ) -> None:
+        self._path = path
+        self._process = process
+        self._journal = journal
+        self._seen = self._stamp()
+
+    def reload(self) -> None:
+        """Take over the file, or keep what is in force if it is faulty."""
+        self._seen = self._stamp()
+        read = read_settings(self._path)
+        if isinstance(read, Success):
+            self._process.reload(read.unwrap().to_gateway())
+            return
+        faults = '; '.join(map(str, read.failure()))
+        self._journal.emit(
+            Event.SETTINGS_REJECTED,
+            path=self._path,
+            reason=faults,
+        )
+
+    async def watch(self) -> None:
+        """Reload whenever the file has changed."""
+        while True:
+            await asyncio.sleep(_FILE_PERIOD_S)
+            if self._stamp() != self._seen:
+                self.reload()
+
+    def _stamp(self) -> tuple[int, int]:
+        try:
+            found = os.stat(self._path)
+        except OSError:
+            # It is being replaced; the next look finds the new one.
+            return (0, 0)
+        return (found.st_mtime_ns, found.st_size)
+
+
+def _settings_or_exit(path: Path) -> NodeSettings:
+    read = read_settings(path)
+    if isinstance(read, Success):
+        return read.unwrap()
+    for fault in read.failure():
+        click.echo(f'{path}: {fault}', err=True)
+    sys.exit(_EXIT_SETTINGS)
+
+
+def _log_to(journal: Journal) -> None:
+    root = std_logging.getLogger()
+    root.handlers[:] = [journal.handler()]
+    root.setLevel(std_logging.WARNING)
+    logging.set_verbosity(logging.WARNING)
+    absl_logger = logging.get_absl_logger()
+    absl_logger.handlers[:] = []
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/teaselquay/platform/_settings.py
@@ -0,0 +1,109 @@
+"""The settings file that the platform writes for each process."""
+
+import json
+from pathlib import Path
+from typing import Annotated
+
+from pydantic import BaseModel, BeforeValidator, ConfigDict, Field
+from pydantic import ValidationError
+from returns.result import Failure, Result, Success
+
+from teaselquay.decisions import VmName, ZoneName
+from teaselquay.gateway import Dialect, GatewaySettings
+from teaselquay.platform._durations import parse_duration
+from teaselquay.shells import Address, SettingsFault
+
+#: Where the deploy file says that metrics are served.
+METRICS_PORT = 9464
+DIALECT = Dialect(
+    request_id=b'x-request-id',
+    deadline_ms=b'x-deadline-ms',
+    api_key=b'x-key',
+    team=b'x-tenant',
+    expected_upstream=b'x-expect-instance',
+    not_executed=b'x-not-executed',
+    stamp=b'x-response-stamp',
+)
+
+_Seconds = Annotated[float, BeforeValidator(parse_duration)]
+
+
+class _Section(BaseModel):
+    # New fields may come, and fields of other matters are there already.
+    model_config = ConfigDict(extra='ignore', frozen=True)
+
+
+class _ListenAddrs(_Section):
+    front: str
+    ready: str
+
+
+class _Bounds(_Section):
+    grace: _Seconds
+    budget_ratio: float = Field(alias='budget-ratio', default=0.2)
+    budget_slack: float = Field(alias='budget-slack', default=20)
+
+
+class _Store(_Section):
+    address: str
+
+
+class NodeSettings(_Section):
+    """The fields of the file that are used."""
+
+    node_name: str = Field(alias='node-name')
+    ip: str
+    zone: str
+    listen_addrs: _ListenAddrs = Field(alias='listen-addrs')
+    internal_ports: tuple[int, int] = Field(alias='internal-ports')
+    seeds: tuple[str, ...] = ()
+    bounds: _Bounds
+    #: The key-value store of the platform.
+    platform: _Store
+
+    def store_address(self) -> Address:
+        """Return where the store listens."""
+        return Address.parse(self.platform.address)
+
+    def to_gateway(self) -> GatewaySettings:
+        """Return the settings of the product."""
+        peer_port = self.internal_ports[0]
+        return GatewaySettings(
+            vm=VmName(self.node_name),
+            zone=ZoneName(self.zone),
+            callers=Address.parse(self.listen_addrs.front),
+            ready=Address.parse(self.listen_addrs.ready),
+            metrics=Address(self.ip, METRICS_PORT),
+            peer=Address(self.ip, peer_port),
+            # Seeds name the port of another listener of the same VMs.
+            seeds=tuple(
+                Address(Address.parse(seed).host, peer_port)
+                for seed in self.seeds
+            ),
+            grace_s=self.bounds.grace,
+            repeat_ratio=self.bounds.budget_ratio,
+            repeat_slack=self.bounds.budget_slack,
+        )
+
+
+def read_settings(path: Path) -> Result[NodeSettings, list[SettingsFault]]:
+    """Return the settings in the file at `path`, or all of its faults."""
+    try:
+        document = json.loads(path.read_bytes())
+    except OSError as error:
+        reason = f'cannot be read: {error.strerror}'
+        return Failure([SettingsFault(path='', expected=reason)])
+    except ValueError as error:
+        return Failure([SettingsFault(path='', expected=str(error))])
+    try:
+        return Success(NodeSettings.model_validate(document))
+    except ValidationError as error:
+        return Failure(
+            [
+                SettingsFault(
+                    path='.'.join(map(str, item['loc'])),
+                    expected=item['msg'],
+                )
+                for item in error.errors()
+            ],
+        )
--- a/teaselquay/server/__init__.py
+++ b/teaselquay/server/__init__.py
@@ -1,5 +1,6 @@
 """One VM's process."""
 
-from teaselquay.server._process import Process
+from teaselquay.server._process import Process, SignalFreeServer, bind
+from teaselquay.server._protocol import BoundedHttpProtocol
 
-__all__ = ('Process',)
+__all__ = ('BoundedHttpProtocol', 'Process', 'SignalFreeServer', 'bind')
--- a/teaselquay/server/_process.py
+++ b/teaselquay/server/_process.py
@@ -53,7 +53,7 @@
 _LIST_WAIT_S = 2.0
 
 
-class _Server(uvicorn.Server):
+class SignalFreeServer(uvicorn.Server):
     """A server that leaves signals to the process."""
 
     @contextlib.contextmanager
@@ -157,8 +157,8 @@
         await self.link.open(Address.parse(self.settings.listen.peer))
         data = self._server(Pipeline(self.parts))
         admin = self._server(Admin(self).app)
-        data_socket = _bind(self.settings.listen.data)
-        admin_socket = _bind(self.settings.listen.admin)
+        data_socket = bind(self.settings.listen.data)
+        admin_socket = bind(self.settings.listen.admin)
         await self._start_parts()
         serving = [
             asyncio.create_task(data.serve([data_socket])),
@@ -238,7 +238,7 @@
             proxy_headers=False,
             timeout_keep_alive=_KEEP_ALIVE_S,
         )
-        return _Server(config)
+        return SignalFreeServer(config)
 
     async def _set_gauges(self) -> None:
         metrics = self.parts.metrics
@@ -251,7 +251,12 @@
         metrics.peer_octets.set(self.link.octets)
 
 
-def _bind(text: str) -> socket.socket:
+def bind(text: str) -> socket.socket:
+    """Return a socket that listens at the address in `text`.
+
+    Raises:
+        OSError: the address cannot be bound.
+    """
     address = Address.parse(text)
     # Only sockets that name TCP get TCP_NODELAY from the event loop.
     bound = socket.socket(
--- a/teaselquay/shells/__init__.py
+++ b/teaselquay/shells/__init__.py
@@ -11,6 +11,7 @@
     Header,
     HttpConnection,
 )
+from teaselquay.shells._json_client import JsonAnswer, JsonClient
 from teaselquay.shells._lending import Admission, Borrower, Lender
 from teaselquay.shells._membership import Membership
 from teaselquay.shells._messages import Codec, MessageError
@@ -40,7 +41,11 @@
     StoreError,
     Write,
 )
-from teaselquay.shells._sync import Synchroniser
+from teaselquay.shells._sync import (
+    Synchroniser,
+    entry_fields,
+    parse_delta,
+)
 from teaselquay.shells._telemetry import Metrics, Tracer, configure_logs
 from teaselquay.shells._timers import TimerService
 from teaselquay.shells._vmlist import VmList
@@ -63,6 +68,8 @@
     'Header',
     'Health',
     'HttpConnection',
+    'JsonAnswer',
+    'JsonClient',
     'Lender',
     'Membership',
     'MessageError',
@@ -91,5 +98,7 @@
     'VmList',
     'Write',
     'configure_logs',
+    'entry_fields',
     'load_settings',
+    'parse_delta',
 )
--- /dev/null
+++ b/teaselquay/shells/_json_client.py
@@ -0,0 +1,88 @@
+"""Calls with JSON bodies over kept connections."""
+
+import asyncio
+import json
+from dataclasses import dataclass
+from typing import Any
+
+from teaselquay.shells._http import HttpConnection
+from teaselquay.shells._peers import Address
+
+
+@dataclass(frozen=True, slots=True)
+class JsonAnswer:
+    """Status and body of an answer."""
+
+    status: int
+    document: Any
+
+
+class JsonClient:
+    """Sends calls to one address, each on a connection of its own.
+
+    A call that fails closes its connection, so that a late answer reaches
+    nobody; no call is repeated here.
+    """
+
+    def __init__(self, address: Address) -> None:
+        """Call the service at `address`."""
+        self.calls = 0
+        self._address = address
+        self._idle: list[HttpConnection] = []
+
+    async def call(
+        self,
+        method: str,
+        target: str,
+        timeout_s: float,
+        body: Any = None,
+    ) -> JsonAnswer:
+        """Return the answer.
+
+        Raises:
+            ExchangeError: the connection failed.
+            TimeoutError: no answer came in time.
+            ValueError: the answer is not JSON.
+        """
+        self.calls += 1
+        async with asyncio.timeout(timeout_s):
+            connection = await self._take(timeout_s)
+            try:
+                answer = await self._exchange(connection, method, target, body)
+            except BaseException:
+                connection.close()
+                raise
+        self._idle.append(connection)
+        return answer
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        while self._idle:
+            self._idle.pop().close()
+
+    async def _take(self, timeout_s: float) -> HttpConnection:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.reusable:
+                return connection
+            connection.close()
+        return await HttpConnection.open(self._address, timeout_s)
+
+    async def _exchange(
+        self,
+        connection: HttpConnection,
+        method: str,
+        target: str,
+        body: Any,
+    ) -> JsonAnswer:
+        octets = b'' if body is None else json.dumps(body).encode()
+        head = (
+            f'{method} {target} HTTP/1.1\r\nHost: {self._address.host}\r\n'
+            f'Content-Type: application/json\r\n'
+            f'Content-Length: {len(octets)}\r\n\r\n'
+        )
+        connection.begin(method)
+        await connection.write(head.encode() + octets)
+        answer = await connection.read_head()
+        text = b''.join([part async for part in connection.read_body()])
+        return JsonAnswer(answer.status, json.loads(text) if text else None)
--- a/teaselquay/shells/_peers.py
+++ b/teaselquay/shells/_peers.py
@@ -76,6 +76,14 @@
             PeerTimeoutError: no answer came in time.
         """
 
+    def tell(
+        self,
+        address: Address,
+        kind: str,
+        fields: Fields | None,
+    ) -> None:
+        """Send a message that is not answered, and may be lost."""
+
 
 class DatagramLink(asyncio.DatagramProtocol):
     """A peer link over UDP.
@@ -145,6 +153,15 @@
         finally:
             self._waiting.pop(number, None)
 
+    def tell(
+        self,
+        address: Address,
+        kind: str,
+        fields: Fields | None,
+    ) -> None:
+        """Send a message that is not answered, and may be lost."""
+        self._send(address, next(self._calls), Answer(kind, fields))
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
         self._transport = cast(asyncio.DatagramTransport, transport)
--- a/teaselquay/shells/_sync.py
+++ b/teaselquay/shells/_sync.py
@@ -204,7 +204,7 @@
             fields,
             _PULL_TIMEOUT_S,
         )
-        node.merge(_parse_delta(pulled))
+        node.merge(parse_delta(pulled))
         behind = node.replica.revision < pulled.revision
         if not behind:
             self._take_evidence(vm, pulled, asked)
@@ -234,7 +234,7 @@
         fields: dict[str, Any] = {
             'since': delta.since,
             'upto': delta.upto,
-            'entries': [_entry_fields(entry) for entry in delta.entries],
+            'entries': [entry_fields(entry) for entry in delta.entries],
             'revision': node.replica.revision,
             'storeAgeMs': _age_ms(now - node.freshness.store_instant),
             'attests': node.freshness.attests,
@@ -306,7 +306,8 @@
     return int(age_s * _MS_PER_S) + 1
 
 
-def _entry_fields(entry: Entry) -> dict[str, Any]:
+def entry_fields(entry: Entry) -> dict[str, Any]:
+    """Return an entry as the fields of a message."""
     return {
         'key': entry.key,
         'value': entry.value,
@@ -314,7 +315,8 @@
     }
 
 
-def _parse_delta(pulled: Any) -> Delta:
+def parse_delta(pulled: Any) -> Delta:
+    """Return the delta in an answer to a pull."""
     entries = tuple(
         Entry(item.key, bytes(item.value), Revision(item.revision))
         for item in pulled.entries
--- a/teaselquay/shells/_timers.py
+++ b/teaselquay/shells/_timers.py
@@ -1,6 +1,7 @@
 """A timer service that parts subscribe to."""
 
 import asyncio
+import sys
 from random import Random
 from typing import Awaitable, Callable
 
@@ -24,8 +25,18 @@
 
     def subscribe(self, name: str, period_s: float, call: Callback) -> None:
         """Call `call` about every `period_s` seconds, first at once."""
+        self.subscribe_some(name, period_s, call, sys.maxsize)
+
+    def subscribe_some(
+        self,
+        name: str,
+        period_s: float,
+        call: Callback,
+        times: int,
+    ) -> None:
+        """Call `call` as `subscribe` does, but only so many times."""
         task = asyncio.create_task(
-            self._repeat(name, period_s, call),
+            self._repeat(name, period_s, call, times),
             name=f'timer-{name}',
         )
         self._tasks.add(task)
@@ -41,8 +52,9 @@
         name: str,
         period_s: float,
         call: Callback,
+        times: int,
     ) -> None:
-        while True:
+        for _ in range(times):
             try:
                 await call()
             except Exception:
--- a/teaselquay/shells/messages.capnp
+++ b/teaselquay/shells/messages.capnp
@@ -18,6 +18,14 @@
     verdicts @11 :Verdicts;
     ok @12 :Void;
     release @13 :Release;
+    admit @14 :Admit;
+    admitted @15 :Admitted;
+    place @16 :Place;
+    placed @17 :Placed;
+    finished @18 :Finished;
+    notice @19 :Notice;
+    beat @20 :Void;
+    changed @21 :Changed;
   }
 }
 
@@ -43,6 +51,8 @@
   attests @5 :Bool;
   members @6 :UInt64;
   ages @7 :Data;
+  # For how long the store has answered without interruption.
+  storeSettledMs @8 :UInt32;
 }
 
 struct Need {
@@ -158,3 +168,56 @@
   # Keys made before this time are unknown to the owner before as well.
   knownFromS @5 :Float64;
 }
+
+# Asks the coordinator of a team for one request of its rate.
+struct Admit {
+  team @0 :Text;
+}
+
+struct Admitted {
+  isKnown @0 :Bool;
+  waitMs @1 :UInt32;
+}
+
+# Asks the coordinator of a service for an upstream.
+struct Place {
+  service @0 :Text;
+  ticket @1 :UInt64;
+  zone @2 :Text;
+  isIdempotent @3 :Bool;
+  leftMs @4 :UInt32;
+  targetLeftMs @5 :UInt32;
+  octets @6 :UInt32;
+  isRepeat @7 :Bool;
+  excluded @8 :List(Text);
+  fingerprint @9 :Data;
+}
+
+# `refusal` is empty for a placed request.
+struct Placed {
+  refusal @0 :Text;
+  upstream @1 :Text;
+  retryAfterMs @2 :UInt32;
+  inSpellPermille @3 :UInt16;
+  inFlight @4 :UInt16;
+}
+
+# How one attempt ended.
+struct Finished {
+  service @0 :Text;
+  ticket @1 :UInt64;
+  upstream @2 :Text;
+  outcome @3 :Text;
+  latencyMs @4 :UInt32;
+  fingerprint @5 :Data;
+}
+
+# What a VM says of itself to all others.
+struct Notice {
+  isServing @0 :Bool;
+}
+
+# The store has changed up to `revision`.
+struct Changed {
+  revision @0 :UInt64;
+}
