--- a/teaselquay/coordination/_scheduling.py
+++ b/teaselquay/coordination/_scheduling.py
@@ -61,16 +61,18 @@
 _MOST_CRASHES = 3
 #: An upstream's queue in multiples of its slots, beyond which it sheds.
 _QUEUE_FACTOR = 3.0
-#: Share of requests that are not served from which on all upstreams that
-#: seem well take part, and the time that is looked back on, in seconds. The
-#: users allow a tenth.
-_UNSERVED_SHARE = 0.06
+#: Shares of requests that are not served: from the first on, upstreams
+#: that had no work are favoured more and more, up to the second, which is
+#: what the users allow.
+_UNSERVED_LOW = 0.05
+_UNSERVED_HIGH = 0.1
+#: The time that is looked back on, in seconds, and its fewest requests.
 _UNSERVED_S = 2.0
 _LEAST_COUNTED = 10
-#: An upstream that got nothing for so long is tried then, in seconds.
+#: An upstream that got nothing for so long is without work, in seconds.
 _UNUSED_S = 1.1
-_UNUSED_GAIN = 0.5
-_SEEMS_WELL = 0.5
+#: Largest gain of trying one: it outweighs the risk of an unknown one.
+_UNUSED_GAIN = 0.4
 #: Least time that a refused caller is told to wait, in seconds.
 _LEAST_WAIT_S = 0.25
 _BYTES_PER_MB = 1e6
@@ -318,8 +320,7 @@
         fill = (known.in_flight + 1) / upstream.slots
         loss = failure + (1 - failure) * late * _LATE_LOSS
         loss += _FULL_LOSS * fill * fill
-        if self._is_due(known, now):
-            loss -= _UNUSED_GAIN
+        loss -= self._unused_gain(known, now)
         if upstream.zone != request.zone:
             loss += request.octets / _BYTES_PER_MB * _ZONE_LOSS_PER_MB
         if now < known.shed_until:
@@ -327,19 +328,19 @@
         # Equal upstreams are drawn by chance, which matters on fallback.
         return loss + self.random.random() * _FULL_LOSS / 2
 
-    def _is_due(self, known: _Knowledge, now: Instant) -> bool:
-        """Return whether an upstream should be tried for its own sake.
+    def _unused_gain(self, known: _Knowledge, now: Instant) -> float:
+        """Return the gain of using an upstream for its own sake.
 
         Load pattern: many requests are not served, by refusals or by
         failures. Then no upstream that seems well is left without work.
         """
-        if now - known.last_used < _UNUSED_S:
-            return False
-        if known.belief.at(now) > _SEEMS_WELL:
-            return False
         count = len(self._ended)
+        if now - known.last_used < _UNUSED_S or count < _LEAST_COUNTED:
+            return 0
         unserved = sum(1 for _, is_served in self._ended if not is_served)
-        return count >= _LEAST_COUNTED and unserved > count * _UNSERVED_SHARE
+        above = unserved / count - _UNSERVED_LOW
+        part = above / (_UNSERVED_HIGH - _UNSERVED_LOW)
+        return _UNUSED_GAIN * min(1, max(0, part))
 
     def _expected_s(
         self,
