--- a/teaselquay/fleet/_directory.py
+++ b/teaselquay/fleet/_directory.py
@@ -4,7 +4,7 @@
 from typing import Iterable
 
 from teaselquay.configuration import VmRecord
-from teaselquay.decisions import Instant, VmName, ZoneName, rank_vms
+from teaselquay.decisions import Instant, VmName, ZoneName, first_vm, rank_vms
 from teaselquay.events import Event, Journal
 from teaselquay.shells import Address
 
@@ -16,6 +16,9 @@
 #: A VM that was silent for so long is taken as removed, in seconds: longer
 #: than cuts that heal.
 _REMOVED_S = 20.0
+#: How long a VM that could not read the store is not its zone's reader, in
+#: seconds. It tries again then, so that an outage costs few calls.
+_STORE_LOST_S = 1.5
 #: VMs that are tried before a decision is taken alone.
 _MOST_RANKED = 3
 _NEVER = Instant(float('-inf'))
@@ -34,6 +37,7 @@
     _heard: dict[VmName, Instant] = field(default_factory=dict)
     _suspect_until: dict[VmName, Instant] = field(default_factory=dict)
     _first_seen: dict[VmName, Instant] = field(default_factory=dict)
+    _store_lost_until: dict[VmName, Instant] = field(default_factory=dict)
     _leaving: set[VmName] = field(default_factory=set)
     _ranks: dict[str, list[VmName]] = field(default_factory=dict)
     last_contact: Instant = _NEVER
@@ -52,6 +56,13 @@
         record = self.records_by_name.get(vm)
         return Address.parse(record.peer) if record else None
 
+    def name_of(self, address: Address) -> VmName | None:
+        """Return the VM that listens at `address`."""
+        for name, record in self.records_by_name.items():
+            if Address.parse(record.peer) == address:
+                return name
+        return None
+
     def others(self) -> list[VmName]:
         """Return all VMs but this one."""
         return [name for name in self.records_by_name if name != self.vm]
@@ -81,6 +92,10 @@
         else:
             self._leaving.add(vm)
 
+    def store_lost(self, vm: VmName, now: Instant) -> None:
+        """Note that `vm` could not read the store."""
+        self._store_lost_until[vm] = Instant(now + _STORE_LOST_S)
+
     def is_askable(self, vm: VmName, now: Instant) -> bool:
         """Return whether `vm` may be expected to answer."""
         if vm in self._leaving:
@@ -106,10 +121,14 @@
         names = [
             record.name
             for record in self.records_by_name.values()
-            if record.zone == zone and self.is_askable(record.name, now)
+            if record.zone == zone and self._can_read(record.name, now)
         ]
-        ranks = rank_vms('store-reader', names)
-        return ranks[0] if ranks else None
+        return first_vm('store-reader', names)
+
+    def _can_read(self, vm: VmName, now: Instant) -> bool:
+        if now < self._store_lost_until.get(vm, _NEVER):
+            return False
+        return self.is_askable(vm, now)
 
     def zones(self) -> list[ZoneName]:
         """Return the zones of all VMs, in order."""
--- a/teaselquay/fleet/_replication.py
+++ b/teaselquay/fleet/_replication.py
@@ -32,10 +32,9 @@
 _PULL_TIMEOUT_S = 0.3
 #: Pause after a call to the store that failed.
 _STORE_PAUSE_S = 0.5
-#: Evidence older than this makes other VMs try the store themselves.
-_STALE_S = 3.0
-#: Expected number of VMs that try the store in one period then.
-_SPARE_READERS = 2
+#: Pulls that fail in a row until a VM reads the store itself: peers and
+#: the store may be cut off apart from each other.
+_MOST_FAILED_PULLS = 2
 #: Bytes of entries in one datagram, below the largest that UDP carries.
 _MOST_DELTA_BYTES = 40_000
 _MOST_DATAGRAM_BYTES = 60_000
@@ -67,6 +66,7 @@
     _registered: bool = False
     _round: int = 0
     _pulling: bool = False
+    _failed_pulls: int = 0
     _tasks: set['asyncio.Task[Any]'] = field(default_factory=set)
 
     def start(self, timers: TimerService) -> None:
@@ -86,18 +86,25 @@
             await self._begin()
         while self._is_reader() and await self._read(_WATCH_S):
             continue
-        if self.age_s() > _STALE_S:
-            others = self.directory.known_count()
-            if self.random.random() < _SPARE_READERS / others:
-                await self._read(0)
 
     async def pull_once(self) -> None:
-        """Pull from a reader, or from a seed while no VM is known."""
+        """Pull from a reader, or read the store if no peer answers.
+
+        A reader pulls from another zone's, in case its own watch hangs.
+        """
         self._round += 1
         self.state.remove_lapsed(self.clock.now())
-        address = self._source()
-        if address is not None and not self._pulling:
-            await self._pull(address)
+        if self._pulling:
+            return
+        for source in self._sources():
+            if await self._pull(source):
+                self._failed_pulls = 0
+                return
+            self._failed_pulls += 1
+        is_alone = self._failed_pulls >= _MOST_FAILED_PULLS
+        if is_alone and self._registered and not self._was_reader:
+            # The watch that follows is this VM's own until peers answer.
+            await self._read(0)
 
     async def _begin(self) -> None:
         """Read everything once, and register this VM."""
@@ -163,9 +170,16 @@
             self._tell_zone()
 
     def _tell_zone(self) -> None:
+        """Tell the VMs of this zone, and the other zones' readers."""
+        now = self.clock.now()
         fields = {'revision': self.replica.revision}
+        readers = {
+            self.directory.reader_of(zone, now)
+            for zone in self.directory.zones()
+        }
         for name, record in self.directory.records_by_name.items():
-            if record.zone == self.record.zone and name != self.record.name:
+            is_near = record.zone == self.record.zone or name in readers
+            if is_near and name != self.record.name:
                 self.link.tell(Address.parse(record.peer), 'changed', fields)
 
     def _store_answered(self, instant: Instant) -> None:
@@ -181,6 +195,7 @@
         self.directory.last_contact = self.clock.now()
 
     def _store_failed(self, reason: str) -> None:
+        self.directory.store_lost(self.record.name, self.clock.now())
         if not self._is_store_lost:
             self._is_store_lost = True
             self.journal.emit(
@@ -191,58 +206,76 @@
 
     def _is_reader(self) -> bool:
         reader = self.directory.reader_of(self.record.zone, self.clock.now())
-        is_reader = self._registered and reader == self.record.name
+        is_alone = self._failed_pulls >= _MOST_FAILED_PULLS
+        is_reader = reader == self.record.name or is_alone
+        is_reader = is_reader and self._registered
         if is_reader != self._was_reader:
             self._was_reader = is_reader
             self.journal.emit(
                 Event.READER_CHANGED,
                 is_reader=is_reader,
+                is_alone=is_alone,
                 revision=self.replica.revision,
             )
         return is_reader
 
-    def _source(self) -> Address | None:
+    def _sources(self) -> list[Address]:
+        """Return whom to pull from: a reader, and another if it fails."""
         now = self.clock.now()
         zones = self.directory.zones()
-        zone = self.record.zone
-        if zones and self._round % _OTHER_ZONE_EVERY == 0:
-            zone = self.random.choice(zones)
-        reader = self.directory.reader_of(zone, now)
-        if reader is None and zones:
-            reader = self.directory.reader_of(self.random.choice(zones), now)
-        if reader is not None and reader != self.record.name:
-            return self.directory.address(reader)
-        others = self.directory.others()
-        if others:
-            return self.directory.address(self.random.choice(others))
-        seeds = [s for s in self.directory.seeds if str(s) != self.record.peer]
-        return self.random.choice(seeds) if seeds else None
+        self.random.shuffle(zones)
+        if self._round % _OTHER_ZONE_EVERY and self.record.zone in zones:
+            zones.remove(self.record.zone)
+            zones.insert(0, self.record.zone)
+        readers = [self.directory.reader_of(zone, now) for zone in zones]
+        names = [
+            name for name in readers if name not in {None, self.record.name}
+        ]
+        if not names:
+            names = list(self.directory.others())
+            self.random.shuffle(names)
+        addresses = [
+            address
+            for name in names[:_MOST_FAILED_PULLS]
+            if (address := self.directory.address(name)) is not None
+        ]
+        if addresses or not self.directory.seeds:
+            return addresses
+        return [self.random.choice(self.directory.seeds)]
 
-    async def _pull(self, address: Address) -> None:
+    async def _pull(self, address: Address) -> bool:
+        """Return whether the peer at `address` answered."""
         self._pulling = True
         try:
             while await self._pull_part(address):
                 continue
         except PeerTimeoutError:
             self._suspect(address)
+            return False
         finally:
             self._pulling = False
+        return True
 
     def _suspect(self, address: Address) -> None:
-        for name, record in self.directory.records_by_name.items():
-            if Address.parse(record.peer) == address:
-                self.directory.timed_out(name, self.clock.now())
+        name = self.directory.name_of(address)
+        if name is not None:
+            self.directory.timed_out(name, self.clock.now())
+
+    def _note_store_lost(self, address: Address) -> None:
+        name = self.directory.name_of(address)
+        if name is not None:
+            self.directory.store_lost(name, self.clock.now())
 
     async def _pull_part(self, address: Address) -> bool:
         asked = self.clock.now()
         fields = {'revision': self.replica.revision}
         pulled = await self.link.call(address, 'pull', fields, _PULL_TIMEOUT_S)
         settled_s = pulled.storeSettledMs / _MS_PER_S
-        if self.fresh_at == _NEVER or self.age_s() > _STALE_S:
-            self._settled_at = Instant(self.clock.now() - settled_s)
-        elif not self._was_reader:
+        if not self._was_reader:
             self._settled_at = Instant(self.clock.now() - settled_s)
-        self._merge(parse_delta(pulled), tell=False)
+        if pulled.isStoreLost:
+            self._note_store_lost(address)
+        self._merge(parse_delta(pulled), tell=self._was_reader)
         behind = self.replica.revision < pulled.revision
         if not behind and pulled.storeAgeMs != _AGE_UNKNOWN_MS:
             age_s = pulled.storeAgeMs / _MS_PER_S
@@ -273,6 +306,7 @@
                 'revision': self.replica.revision,
                 'storeAgeMs': _to_ms(now - self.fresh_at),
                 'storeSettledMs': _to_ms(now - self._settled_at),
+                'isStoreLost': self._is_store_lost,
             },
         )
 
--- a/teaselquay/shells/messages.capnp
+++ b/teaselquay/shells/messages.capnp
@@ -53,6 +53,8 @@
   ages @7 :Data;
   # For how long the store has answered without interruption.
   storeSettledMs @8 :UInt32;
+  # The sender could not read the store itself just now.
+  isStoreLost @9 :Bool;
 }
 
 struct Need {
