Take nothing of a second answer, count peers that answered a pull, refuse for waits only

Cause: octets of a second answer in the same segment were added to the body of the first (found by test_octets_after_an_answer_end_its_connection, which failed first); VMs that coordinate nothing took themselves out of rotation after 2.5 s, since answers to pulls did not count (5 of 48 ready when traffic began); a route whose timeout is below the usual work was refused without any wait. Ruled out: the store (it answered). Tests: tests/unit/test_gateway.py.

--- a/teaselquay/coordination/_scheduling.py
+++ b/teaselquay/coordination/_scheduling.py
@@ -367,9 +367,10 @@
         """
         known = self._of(best.name)
         expected_s = self._expected_s(best, known)
+        must_wait = known.in_flight >= best.slots
         too_late = expected_s > request.left_s * _MOST_OF_TIME_LEFT
         too_many = known.in_flight >= best.slots * (1 + _QUEUE_FACTOR)
-        if too_late or too_many:
+        if must_wait and (too_late or too_many):
             wait_s = max(_LEAST_WAIT_S, expected_s - self.mean_s)
             spread = 1 + self.random.random()
             return PlacementRefusal(
--- a/teaselquay/fleet/_replication.py
+++ b/teaselquay/fleet/_replication.py
@@ -261,20 +261,18 @@
         if name is not None:
             self.directory.timed_out(name, self.clock.now())
 
-    def _note_store_lost(self, address: Address) -> None:
-        name = self.directory.name_of(address)
-        if name is not None:
-            self.directory.store_lost(name, self.clock.now())
-
     async def _pull_part(self, address: Address) -> bool:
         asked = self.clock.now()
         fields = {'revision': self.replica.revision}
         pulled = await self.link.call(address, 'pull', fields, _PULL_TIMEOUT_S)
+        name = self.directory.name_of(address)
+        if name is not None:
+            self.directory.heard(name, self.clock.now())
+            if pulled.isStoreLost:
+                self.directory.store_lost(name, self.clock.now())
         settled_s = pulled.storeSettledMs / _MS_PER_S
         if not self._was_reader:
             self._settled_at = Instant(self.clock.now() - settled_s)
-        if pulled.isStoreLost:
-            self._note_store_lost(address)
         self._merge(parse_delta(pulled), tell=self._was_reader)
         behind = self.replica.revision < pulled.revision
         if not behind and pulled.storeAgeMs != _AGE_UNKNOWN_MS:
--- a/teaselquay/shells/_http.py
+++ b/teaselquay/shells/_http.py
@@ -231,10 +231,14 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keep a header field."""
+        if self._is_extra():
+            return
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Hand out the head, unless it is an interim one."""
+        if self._is_extra():
+            return
         assert self._parser is not None
         status = self._parser.get_status_code()
         if status < _FIRST_FINAL_STATUS and status != _SWITCHING:
@@ -250,18 +254,31 @@
 
     def on_body(self, body: bytes) -> None:
         """Keep a part of the body."""
+        if self._is_extra():
+            return
         self._chunks.append(body)
         self._buffered += len(body)
         self._arrived.set()
 
     def on_message_complete(self) -> None:
         """End the exchange, or go on after an interim head."""
+        if self._is_extra():
+            return
         assert self._parser is not None
         if self._parser.get_status_code() < _FIRST_FINAL_STATUS:
             self._headers = []
             return
         self._finish()
 
+    def _is_extra(self) -> bool:
+        """Return whether the answer is whole, so that this is another.
+
+        It belongs to no request, and the connection cannot be used again.
+        """
+        if self._complete:
+            self._keep_alive = False
+        return self._complete
+
     def _finish(self) -> None:
         self._complete = True
         self._arrived.set()
--- /dev/null
+++ b/tests/unit/test_gateway.py
@@ -0,0 +1,316 @@
+"""The gateway's promises to callers, before scripted upstreams."""
+
+import asyncio
+import json
+
+import pytest
+
+from teaselquay.configuration import RouteKind
+from tests.support.gateway import (
+    KEY,
+    Gateway,
+    Received,
+    ScriptedUpstream,
+    answer,
+    configuration,
+    read_whole,
+    record,
+    replies,
+    request_head,
+    run_with,
+)
+
+Upstreams = list[ScriptedUpstream]
+
+
+async def _reset(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    received: Received,
+) -> None:
+    writer.transport.abort()
+
+
+async def _hang(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    received: Received,
+) -> None:
+    await reader.read()
+
+
+def _sent(upstreams: Upstreams) -> int:
+    return sum(len(upstream.received) for upstream in upstreams)
+
+
+def test_request_reaches_upstream_with_its_team_and_without_the_key():
+    async def check(gateway: Gateway, upstreams: Upstreams) -> None:
+        status, headers, body = await gateway.ask(x_team='forged')
+        assert (status, body) == (200, b'ok')
+        assert headers['x-answer-stamp'] == 'stamp'
+        received = upstreams[0].received[0]
+        assert received.line == 'GET /slots/1 HTTP/1.1'
+        assert received.headers['x-team'] == 'acme'
+        assert received.headers['x-expected-upstream'] == 'up-0'
+        assert int(received.headers['x-request-timeout-ms']) <= 2000
+        assert KEY not in str(received)
+
+    run_with(configuration(), [replies()], check)
+
+
+@pytest.mark.parametrize(
+    ('path', 'headers', 'status'),
+    [
+        ('/other/1', {}, 404),
+        ('/slots/%2e%2e/x', {}, 400),
+        ('/slots/1', {'x_api_key': 'unknown'}, 401),
+        ('/slots/1', {'x_api_key': ''}, 401),
+        ('/slots/1', {'host': 'other.example'}, 404),
+        ('/slots/1', {'content_length': str(1 << 40)}, 413),
+    ],
+)
+def test_improper_requests_are_refused_unsent(
+    path: str,
+    headers: dict[str, str],
+    status: int,
+):
+    async def check(gateway: Gateway, upstreams: Upstreams) -> None:
+        found, _, body = await gateway.ask(path=path, **headers)
+        assert found == status
+        assert json.loads(body)['run'] == 'not-run'
+        assert not _sent(upstreams)
+
+    run_with(configuration(), [replies()], check)
+
+
+def test_unsafe_request_is_sent_once_after_a_reset():
+    async def check(gateway: Gateway, upstreams: Upstreams) -> None:
+        status, _, body = await gateway.ask('POST', body=b'x')
+        assert status == 502
+        assert json.loads(body)['run'] == 'unknown'
+        assert _sent(upstreams) == 1
+
+    config = configuration(RouteKind.NON_IDEMPOTENT)
+    run_with(config, [_reset, _reset], check)
+
+
+def test_idempotent_request_is_sent_again_after_a_reset():
+    async def check(gateway: Gateway, upstreams: Upstreams) -> None:
+        for _ in range(4):
+            status, _, body = await gateway.ask()
+            assert (status, body) == (200, b'ok')
+
+    run_with(configuration(), [_reset, replies()], check)
+
+
+def test_declined_unsafe_request_goes_to_another_upstream():
+    shed = replies(b'', '503 Busy', x_not_executed='1')
+
+    async def check(gateway: Gateway, upstreams: Upstreams) -> None:
+        for _ in range(4):
+            status, _, _ = await gateway.ask('POST', body=b'x' * 9)
+            assert status == 200
+        assert all(
+            received.body == b'x' * 9
+            for received in upstreams[1].received
+        )
+
+    config = configuration(RouteKind.UPLOAD)
+    run_with(config, [shed, replies()], check)
+
+
+def test_request_that_no_upstream_took_is_refused_as_not_run():
+    shed = replies(b'', '503 Busy', x_not_executed='1')
+
+    async def check(gateway: Gateway, upstreams: Upstreams) -> None:
+        status, headers, body = await gateway.ask('POST', body=b'x')
+        assert status == 503
+        assert json.loads(body)['run'] == 'not-run'
+        assert float(headers['retry-after']) > 0
+
+    config = configuration(RouteKind.NON_IDEMPOTENT)
+    run_with(config, [shed, shed], check)
+
+
+def test_upstream_that_cannot_be_reached_is_no_attempt():
+    async def check(gateway: Gateway, upstreams: Upstreams) -> None:
+        gone = record('gone', 9)
+        live = record('up-0', upstreams[0].port)
+        gateway.use(gone, live)
+        for _ in range(6):
+            status, _, _ = await gateway.ask('POST', body=b'x')
+            assert status == 200
+
+    config = configuration(RouteKind.NON_IDEMPOTENT, max_attempts=1)
+    run_with(config, [replies()], check)
+
+
+def test_answer_of_another_request_never_reaches_a_caller():
+    async def check(gateway: Gateway, upstreams: Upstreams) -> None:
+        status, _, _ = await gateway.ask('POST', body=b'x')
+        assert status == 502
+
+    config = configuration(RouteKind.NON_IDEMPOTENT)
+    run_with(config, [replies(x_request_id='another')], check)
+
+
+@pytest.mark.parametrize(
+    'extra',
+    [{'content_encoding': 'gzip'}, {'content_length': '9'}],
+)
+def test_broken_answer_is_no_success(extra: dict[str, str]):
+    async def handle(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        received: Received,
+    ) -> None:
+        writer.write(answer(received, **extra))
+        writer.close()
+
+    async def check(gateway: Gateway, upstreams: Upstreams) -> None:
+        status, _, _ = await gateway.ask('POST')
+        assert status == 502
+
+    config = configuration(RouteKind.NON_IDEMPOTENT)
+    run_with(config, [handle], check)
+
+
+def test_octets_after_an_answer_end_its_connection():
+    async def handle(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        received: Received,
+    ) -> None:
+        writer.write(answer(received) + answer(received, b'again'))
+
+    async def check(gateway: Gateway, upstreams: Upstreams) -> None:
+        for _ in range(3):
+            status, _, body = await gateway.ask()
+            assert (status, body) == (200, b'ok')
+        assert upstreams[0].connections == 3
+
+    run_with(configuration(), [handle], check)
+
+
+def test_answer_without_length_is_whole_at_its_end():
+    async def handle(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        received: Received,
+    ) -> None:
+        head = b'HTTP/1.1 200 OK\r\nx-answer-stamp: stamp\r\n\r\n'
+        writer.write(head + b'whole')
+        writer.close()
+
+    async def check(gateway: Gateway, upstreams: Upstreams) -> None:
+        status, _, body = await gateway.ask()
+        assert (status, body) == (200, b'whole')
+
+    run_with(configuration(), [handle], check)
+
+
+def test_early_answer_ends_the_connection_with_a_body_still_due():
+    async def handle(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        received: Received,
+    ) -> None:
+        writer.write(answer(received, b'too large', '413 Large'))
+
+    async def check(gateway: Gateway, upstreams: Upstreams) -> None:
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1',
+            gateway.port,
+        )
+        writer.write(request_head('POST', '/slots/1', 100) + b'first')
+        status, _, body = await read_whole(reader)
+        assert (status, body) == (413, b'too large')
+        writer.close()
+
+    run_with(configuration(RouteKind.UPLOAD), [handle], check)
+
+
+def test_upload_is_streamed_before_it_is_complete():
+    seen = asyncio.Event()
+
+    async def handle(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        received: Received,
+    ) -> None:
+        received.body = await reader.readexactly(5)
+        seen.set()
+        received.body += await reader.readexactly(5)
+        writer.write(answer(received))
+
+    async def check(gateway: Gateway, upstreams: Upstreams) -> None:
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1',
+            gateway.port,
+        )
+        writer.write(request_head('POST', '/slots/1', 10) + b'first')
+        await seen.wait()
+        writer.write(b'later')
+        status, _, _ = await read_whole(reader)
+        assert status == 200
+        assert upstreams[0].received[0].body == b'firstlater'
+        writer.close()
+
+    run_with(configuration(RouteKind.UPLOAD), [handle], check)
+
+
+def test_work_is_cancelled_when_its_caller_leaves():
+    ended = asyncio.Event()
+
+    async def handle(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        received: Received,
+    ) -> None:
+        await reader.read()
+        ended.set()
+
+    async def check(gateway: Gateway, upstreams: Upstreams) -> None:
+        _, writer = await asyncio.open_connection('127.0.0.1', gateway.port)
+        writer.write(request_head('GET', '/slots/1', 0))
+        while not _sent(upstreams):
+            await asyncio.sleep(0.01)
+        writer.close()
+        await ended.wait()
+
+    run_with(configuration(timeout_s=60), [handle], check)
+
+
+def test_request_without_answer_ends_at_the_timeout_of_its_route():
+    async def check(gateway: Gateway, upstreams: Upstreams) -> None:
+        status, _, body = await gateway.ask('POST', body=b'x')
+        assert status == 504
+        assert json.loads(body)['run'] == 'unknown'
+
+    config = configuration(RouteKind.NON_IDEMPOTENT, timeout_s=0.3)
+    run_with(config, [_hang], check)
+
+
+def test_request_over_the_rate_is_refused_with_a_time_to_return():
+    async def check(gateway: Gateway, upstreams: Upstreams) -> None:
+        answers = [await gateway.ask() for _ in range(12)]
+        refused = [found for found in answers if found[0] == 429]
+        assert refused
+        assert all(float(found[1]['retry-after']) > 0 for found in refused)
+        assert _sent(upstreams) == len(answers) - len(refused)
+
+    run_with(configuration(rate=2), [replies()], check)
+
+
+def test_each_refusal_is_logged_with_its_request():
+    async def check(gateway: Gateway, upstreams: Upstreams) -> None:
+        await gateway.ask(path='/other/1')
+        lines = [json.loads(line) for line in gateway.lines]
+        refused = [
+            line for line in lines if line['event'] == 'request.refused'
+        ]
+        assert refused[0]['request'] == 'request-1'
+        assert refused[0]['problem'] == 'route-unknown'
+        assert refused[0]['configuration'] == 7
+
+    run_with(configuration(), [replies()], check)
