--- a/teaselquay/fleet/_directory.py
+++ b/teaselquay/fleet/_directory.py
@@ -28,8 +28,7 @@
 class Directory:
     """Where the VMs are, and when each was last heard from."""
 
-    vm: VmName
-    zone: ZoneName
+    own: VmRecord
     journal: Journal
     records_by_name: dict[VmName, VmRecord] = field(default_factory=dict)
     #: Addresses from the settings, to find a first peer without the store.
@@ -42,9 +41,19 @@
     _ranks: dict[str, list[VmName]] = field(default_factory=dict)
     last_contact: Instant = _NEVER
 
+    def __post_init__(self) -> None:
+        """Begin with this VM alone, which then reads for its zone."""
+        self.records_by_name = {self.own.name: self.own}
+
+    @property
+    def vm(self) -> VmName:
+        """Return the name of this VM."""
+        return self.own.name
+
     def replace(self, records: Iterable[VmRecord], now: Instant) -> None:
-        """Take over the VMs that the store lists."""
+        """Take over the VMs that the store lists, beside this one."""
         by_name = {record.name: record for record in records}
+        by_name[self.own.name] = self.own
         if by_name != self.records_by_name:
             self.records_by_name = by_name
             self._ranks.clear()
@@ -106,8 +115,8 @@
         """Return the VMs that coordinate `subject`, the first one first."""
         ranks = self._ranks.get(subject)
         if ranks is None:
-            names = self.records_by_name.keys() | {self.vm}
-            ranks = self._ranks[subject] = rank_vms(subject, names)
+            ranks = rank_vms(subject, self.records_by_name)
+            self._ranks[subject] = ranks
         found: list[VmName] = []
         for name in ranks:
             if self.is_askable(name, now):
@@ -154,4 +163,4 @@
 
     def known_count(self) -> int:
         """Return how many VMs the fleet has, as the store lists them."""
-        return max(1, len(self.records_by_name))
+        return len(self.records_by_name)
--- a/teaselquay/fleet/_replication.py
+++ b/teaselquay/fleet/_replication.py
@@ -35,6 +35,9 @@
 #: Pulls that fail in a row until a VM reads the store itself: peers and
 #: the store may be cut off apart from each other.
 _MOST_FAILED_PULLS = 2
+#: Entries of upstreams lapse after three heartbeats, 4.5 s: a store that was
+#: lost for less than a third of that lapsed none.
+_OUTAGE_S = 1.5
 #: Bytes of entries in one datagram, below the largest that UDP carries.
 _MOST_DELTA_BYTES = 40_000
 _MOST_DATAGRAM_BYTES = 60_000
@@ -62,6 +65,7 @@
     fresh_at: Instant = _NEVER
     _settled_at: Instant = _NEVER
     _is_store_lost: bool = False
+    _lost_at: Instant = _NEVER
     _was_reader: bool = False
     _registered: bool = False
     _round: int = 0
@@ -183,7 +187,7 @@
                 self.link.tell(Address.parse(record.peer), 'changed', fields)
 
     def _store_answered(self, instant: Instant) -> None:
-        if self._settled_at == _NEVER or self._is_store_lost:
+        if self._settled_at == _NEVER or self._is_outage():
             self._settled_at = self.clock.now()
         if self._is_store_lost:
             self._is_store_lost = False
@@ -194,10 +198,22 @@
         self.fresh_at = max(self.fresh_at, instant)
         self.directory.last_contact = self.clock.now()
 
+    def _is_outage(self) -> bool:
+        """Return whether upstreams may have lapsed for want of the store."""
+        lost_s = self.clock.now() - self._lost_at
+        return self._is_store_lost and lost_s >= _OUTAGE_S
+
+    def _settled_s(self) -> float:
+        """Return for how long the store has answered without an outage."""
+        if self._is_outage():
+            return 0
+        return self.clock.now() - self._settled_at
+
     def _store_failed(self, reason: str) -> None:
         self.directory.store_lost(self.record.name, self.clock.now())
         if not self._is_store_lost:
             self._is_store_lost = True
+            self._lost_at = self.clock.now()
             self.journal.emit(
                 Event.STORE_LOST,
                 reason=reason,
@@ -303,7 +319,7 @@
                 'entries': [entry_fields(entry) for entry in delta.entries],
                 'revision': self.replica.revision,
                 'storeAgeMs': _to_ms(now - self.fresh_at),
-                'storeSettledMs': _to_ms(now - self._settled_at),
+                'storeSettledMs': _to_ms(self._settled_s()),
                 'isStoreLost': self._is_store_lost,
             },
         )
--- a/teaselquay/gateway/_process.py
+++ b/teaselquay/gateway/_process.py
@@ -77,16 +77,12 @@
         self._settings = settings
         self._link = DatagramLink(settings.vm, incarnation, Codec(fleet_key))
         self._timers = TimerService(random)
-        directory = Directory(
-            settings.vm,
-            settings.zone,
-            journal,
-            seeds=settings.seeds,
-        )
-        state = FleetState(decoder, journal)
         host, port = settings.peer
+        own = VmRecord(settings.vm, f'{host}:{port}', settings.zone)
+        directory = Directory(own, journal, seeds=settings.seeds)
+        state = FleetState(decoder, journal)
         replication = Replication(
-            VmRecord(settings.vm, f'{host}:{port}', settings.zone),
+            own,
             store,
             self._link,
             directory,
--- /dev/null
+++ b/tests/platform/test_decoding.py
@@ -0,0 +1,149 @@
+"""Entries and settings of the platform, good and malformed."""
+
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+from returns.result import Failure
+
+from teaselquay.configuration import RouteKind, UpstreamState
+from teaselquay.decisions import Entry, EntryError, Revision
+from teaselquay.platform import PlatformDecoder, read_settings
+
+UPSTREAM: dict[str, Any] = {
+    'address': '10.0.0.9:80',
+    'info': {
+        'service': 's',
+        'version': 'v1',
+        'zone': 'a',
+        'capacity': 6,
+    },
+    'status': {'state': 'ready', 'sequence': 4, 'warmup-left': '1500ms'},
+    'born': 1700000000000,
+}
+CONFIGURATION = {
+    'version': 7,
+    'routes': {
+        'r': {
+            'host': 'h.example',
+            'prefix': '/p/',
+            'kind': 'non_idempotent',
+            'timeout': '5000ms',
+            'target-latency': '1.5s',
+            'weighted-services': [
+                {'service': 's', 'weight': 90},
+                {'service': 't', 'weight': 10},
+            ],
+            'max-attempts': 2,
+            'public': False,
+        },
+    },
+    'services': {'s': {'health-path': '/health', 'max-conns': 390}},
+    'limits': {'idle-timeout': '15000ms', 'max-body-bytes': 9},
+    'tenants': {'t': {'api-keys': ['k'], 'rate-per-s': 45, 'burst': 9}},
+}
+SETTINGS = {
+    'node-name': 'front-1',
+    'ip': '10.1.0.3',
+    'zone': 'a',
+    'listen-addrs': {'front': '10.1.0.3:80', 'ready': '10.1.0.3:81'},
+    'internal-ports': [7000, 7010],
+    'seeds': ['10.1.0.4:83'],
+    'bounds': {'grace': '6s', 'budget-ratio': 0.2, 'budget-slack': 64},
+    'platform': {'address': '10.9.0.1:90'},
+    'a-new-field': 1,
+}
+
+
+def _entry(key: str, document: Any) -> Entry:
+    return Entry(key, json.dumps(document).encode(), Revision(3))
+
+
+def _changed(path: str, value: Any) -> dict[str, Any]:
+    document = json.loads(json.dumps(UPSTREAM))
+    *parents, last = path.split('.')
+    place = document
+    for name in parents:
+        place = place[name]
+    if value is None:
+        del place[last]
+    else:
+        place[last] = value
+    return document
+
+
+def test_upstream_is_read():
+    found = PlatformDecoder().decode(_entry('servers/i-1', UPSTREAM))
+    assert found.name == 'i-1'
+    assert found.slots == 6
+    assert found.state is UpstreamState.READY
+    assert found.warmup_left_s == 1.5
+    assert found.started_ms == 1700000000000
+
+
+@pytest.mark.parametrize(
+    ('path', 'value'),
+    [
+        ('address', None),
+        ('address', 5),
+        ('address', 'nowhere'),
+        ('info', 'text'),
+        ('info.service', None),
+        ('info.capacity', '6'),
+        ('info.capacity', True),
+        ('info.capacity', 0),
+        ('status', []),
+        ('status.state', 'paused'),
+        ('status.sequence', 1.5),
+        ('status.warmup-left', 3),
+        ('born', '1700000000000'),
+        ('born', 1.5),
+    ],
+)
+def test_forged_upstream_is_rejected(path: str, value: Any):
+    with pytest.raises(EntryError):
+        PlatformDecoder().decode(
+            _entry('servers/i-1', _changed(path, value)),
+        )
+
+
+def test_bytes_that_are_no_document_are_rejected():
+    with pytest.raises(EntryError):
+        PlatformDecoder().decode(Entry('op/config', b'\xff', Revision(1)))
+
+
+def test_configuration_is_read():
+    found = PlatformDecoder().decode(_entry('op/config', CONFIGURATION))
+    route = found.routes_by_name['r']
+    assert route.kind is RouteKind.NON_IDEMPOTENT
+    assert (route.timeout_s, route.target_latency_s) == (5, 1.5)
+    assert [target.weight for target in route.targets] == [90, 10]
+    assert found.teams_by_name['t'].rate == 45
+    assert found.limits.idle_timeout_s == 15
+    assert found.limits.max_body_bytes == 9
+
+
+def test_settings_are_read(tmp_path: Path):
+    file = tmp_path / 'node.json'
+    file.write_text(json.dumps(SETTINGS))
+    settings = read_settings(file).unwrap().to_gateway()
+    assert settings.peer == ('10.1.0.3', 7000)
+    assert settings.seeds == (('10.1.0.4', 7000),)
+    assert settings.grace_s == 6
+
+
+@pytest.mark.parametrize(
+    ('text', 'path'),
+    [
+        ('{', ''),
+        (json.dumps({**SETTINGS, 'bounds': {'grace': 6}}), 'bounds.grace'),
+        (json.dumps({**SETTINGS, 'ip': 5}), 'ip'),
+    ],
+)
+def test_faulty_settings_name_the_field(text: str, path: str, tmp_path: Path):
+    file = tmp_path / 'node.json'
+    file.write_text(text)
+    found = read_settings(file)
+    assert isinstance(found, Failure)
+    assert found.failure()[0].path == path
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,105 @@
+"""The client of the platform's store against its stand-in."""
+
+import asyncio
+from typing import Awaitable, Callable
+
+import pytest
+from returns.result import Failure, Success
+
+from teaselquay.configuration import VmRecord
+from teaselquay.decisions import Revision, VmName, ZoneName
+from teaselquay.fleet import HistoryLost
+from teaselquay.platform import PlatformDecoder, PlatformStore
+from teaselquay.shells import Address, StoreAway
+from tests.standins.platform_store import PlatformStoreStandIn
+
+Test = Callable[[PlatformStoreStandIn, PlatformStore], Awaitable[None]]
+
+
+def _run(test: Test) -> None:
+    async def main() -> None:
+        standin = PlatformStoreStandIn()
+        await standin.start()
+        store = PlatformStore(Address('127.0.0.1', standin.port))
+        try:
+            await test(standin, store)
+        finally:
+            standin.close()
+
+    asyncio.run(main())
+
+
+def test_range_is_read_in_pages():
+    async def check(
+        standin: PlatformStoreStandIn,
+        store: PlatformStore,
+    ) -> None:
+        for number in range(8):
+            await standin.put(f'key-{number}', b'%d' % number)
+        delta = (await store.read_all()).unwrap()
+        assert [entry.value for entry in delta.entries] == [
+            b'%d' % number for number in range(8)
+        ]
+        assert delta.upto == standin.revision
+        assert standin.calls == ['/kv-range'] * 3
+
+    _run(check)
+
+
+def test_watch_tells_writes_and_removals():
+    async def check(
+        standin: PlatformStoreStandIn,
+        store: PlatformStore,
+    ) -> None:
+        since = Revision(await standin.put('a', b'1'))
+        waiting = asyncio.create_task(store.changes(since, 5))
+        await asyncio.sleep(0.02)
+        await standin.put('b', b'2')
+        first = (await waiting).unwrap()
+        assert [entry.key for entry in first.entries] == ['b']
+        await standin.remove('a')
+        second = (await store.changes(first.upto, 0)).unwrap()
+        assert [entry.value for entry in second.entries] == [b'']
+
+    _run(check)
+
+
+def test_lost_history_is_told_apart():
+    async def check(
+        standin: PlatformStoreStandIn,
+        store: PlatformStore,
+    ) -> None:
+        standin.compacted = 9
+        found = await store.changes(Revision(3), 0)
+        assert found == Failure(HistoryLost(Revision(3)))
+
+    _run(check)
+
+
+@pytest.mark.parametrize('status', [429, 503, 0])
+def test_refused_or_lost_calls_are_typed_and_not_repeated(status: int):
+    async def check(
+        standin: PlatformStoreStandIn,
+        store: PlatformStore,
+    ) -> None:
+        standin.answers = [status]
+        found = await store.changes(Revision(1), 0)
+        assert isinstance(found, Failure)
+        assert isinstance(found.failure(), StoreAway)
+        assert len(standin.calls) == 1
+        assert isinstance(await store.changes(Revision(1), 0), Success)
+
+    _run(check)
+
+
+def test_vm_registers_where_others_find_it():
+    async def check(
+        standin: PlatformStoreStandIn,
+        store: PlatformStore,
+    ) -> None:
+        record = VmRecord(VmName('vm-1'), '10.0.0.1:7000', ZoneName('a'))
+        assert await store.register(record) == Success(None)
+        entry = (await store.read_all()).unwrap().entries[0]
+        assert PlatformDecoder().decode(entry) == record
+
+    _run(check)
--- a/tests/support/gateway.py
+++ b/tests/support/gateway.py
@@ -125,7 +125,9 @@
     return '\r\n'.join(lines).encode() + b'\r\n\r\n' + body
 
 
-def replies(body: bytes = b'ok', status: str = '200 OK', **extra: str) -> Handler:
+def replies(
+    body: bytes = b'ok', status: str = '200 OK', **extra: str
+) -> Handler:
     """Return a handler that reads the body and answers."""
 
     async def handle(
@@ -189,12 +191,13 @@
         clock = SystemClock()
         random = Random(7)
         link = DatagramLink(VM, Incarnation(1), Codec(b'secret'))
-        directory = Directory(VM, ZONE, journal)
+        own = VmRecord(VM, '127.0.0.1:1', ZONE)
+        directory = Directory(own, journal)
         state = FleetState(None, journal)  # type: ignore[arg-type]
         state.table = RoutingTable.from_config(config)
         nowhere = Address('127.0.0.1', 1)
         replication = Replication(
-            VmRecord(VM, '127.0.0.1:1', ZONE),
+            own,
             None,  # type: ignore[arg-type]
             link,
             directory,
--- /dev/null
+++ b/tests/support/replicas.py
@@ -0,0 +1,245 @@
+"""VMs that share a fake store, on virtual time."""
+
+import asyncio
+import json
+from dataclasses import dataclass, field
+from random import Random
+
+from returns.result import Failure, Result, Success
+
+from teaselquay.configuration import (
+    FleetConfiguration,
+    TeamRule,
+    UpstreamRecord,
+    UpstreamState,
+    VmRecord,
+)
+from teaselquay.coordination import RepeatPolicy
+from teaselquay.decisions import (
+    CatalogFault,
+    Delta,
+    Entry,
+    EntryError,
+    Incarnation,
+    Revision,
+    ServiceName,
+    TeamName,
+    UpstreamName,
+    VmName,
+    WallTime,
+    ZoneName,
+)
+from teaselquay.events import Journal
+from teaselquay.fleet import (
+    Coordinators,
+    Directory,
+    FleetState,
+    HistoryLost,
+    Replication,
+)
+from teaselquay.shells import Address, StoreAway, TimerService
+from tests.support.virtual import FakeLink, Network, VirtualClock
+
+RATE = 40.0
+
+
+class PlainDecoder:
+    """Reads `config`, `up/NAME` and `vm/NAME`."""
+
+    def decode(
+        self,
+        entry: Entry,
+    ) -> FleetConfiguration | UpstreamRecord | VmRecord | None:
+        """Return what `entry` says."""
+        try:
+            return self._read(entry)
+        except ValueError as error:
+            raise EntryError(CatalogFault(entry.key, '', 'JSON')) from error
+
+    def _read(
+        self,
+        entry: Entry,
+    ) -> FleetConfiguration | UpstreamRecord | VmRecord:
+        document = json.loads(entry.value)
+        if entry.key == 'config':
+            team = TeamRule(TeamName('acme'), ('k',), RATE, RATE)
+            return FleetConfiguration(document, {}, {}, {team.name: team})
+        name = entry.key.partition('/')[2]
+        if entry.key.startswith('up/'):
+            return UpstreamRecord(
+                UpstreamName(name),
+                ServiceName('s'),
+                '10.0.0.1:1',
+                ZoneName('a'),
+                6,
+                UpstreamState(document),
+            )
+        return VmRecord(VmName(name), *document)
+
+    def upstream_of(self, key: str) -> UpstreamName | None:
+        """Return the upstream of `key`."""
+        head, _, name = key.partition('/')
+        return UpstreamName(name) if head == 'up' else None
+
+    def vm_of(self, key: str) -> VmName | None:
+        """Return the VM of `key`."""
+        head, _, name = key.partition('/')
+        return VmName(name) if head == 'vm' else None
+
+
+@dataclass
+class FakeSharedStore:
+    """A store whose changes can be watched; `away` lists who is refused."""
+
+    revision: int = 1
+    entries: dict[str, Entry] = field(default_factory=dict)
+    log: list[Entry] = field(default_factory=list)
+    compacted: int = 0
+    away: set[VmName] = field(default_factory=set)
+    is_down: bool = False
+    calls: int = 0
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def put(self, key: str, document: object) -> None:
+        """Write an entry, or remove it with None."""
+        self.revision += 1
+        value = b'' if document is None else json.dumps(document).encode()
+        entry = Entry(key, value, Revision(self.revision))
+        self.entries[key] = entry
+        self.log.append(entry)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+@dataclass
+class FakeClient:
+    """The store as one VM reaches it."""
+
+    vm: VmName
+    shared: FakeSharedStore
+
+    async def read_all(self) -> Result[Delta, StoreAway]:
+        """Return every entry."""
+        if not await self._reach():
+            return Failure(StoreAway('away'))
+        found = [item for item in self.shared.entries.values() if item.value]
+        upto = Revision(self.shared.revision)
+        return Success(Delta(Revision(0), upto, tuple(found)))
+
+    async def changes(
+        self,
+        since: Revision,
+        wait_s: float,
+    ) -> Result[Delta, StoreAway | HistoryLost]:
+        """Return what came after `since`."""
+        if not await self._reach():
+            return Failure(StoreAway('away'))
+        if since < self.shared.compacted:
+            return Failure(HistoryLost(since))
+        if self.shared.revision <= since:
+            try:
+                async with asyncio.timeout(wait_s):
+                    await self.shared.changed.wait()
+            except TimeoutError:
+                pass
+        found = [item for item in self.shared.log if item.revision > since]
+        upto = Revision(max(since, self.shared.revision))
+        return Success(Delta(since, upto, tuple(found)))
+
+    async def register(self, record: VmRecord) -> Result[None, StoreAway]:
+        """Write where a VM is."""
+        if not await self._reach():
+            return Failure(StoreAway('away'))
+        self.shared.put(f'vm/{record.name}', [record.peer, record.zone])
+        return Success(None)
+
+    async def _reach(self) -> bool:
+        self.shared.calls += 1
+        await asyncio.sleep(0.004)
+        return not self.shared.is_down and self.vm not in self.shared.away
+
+
+@dataclass
+class ReplicaVm:
+    """One VM."""
+
+    name: VmName
+    replication: Replication
+    coordinators: Coordinators
+    timers: TimerService
+    address: Address
+
+    @property
+    def state(self) -> FleetState:
+        """Return what the VM knows."""
+        return self.replication.state
+
+    @property
+    def version(self) -> int:
+        """Return the version of the configuration in force, or 0."""
+        table = self.state.table
+        return table.configuration.version if table else 0
+
+
+class ReplicaFleet:
+    """VMs in zones `a`, `b` and `c` by turns."""
+
+    def __init__(self, count: int, seed: int = 1) -> None:
+        """Start `count` VMs."""
+        self.random = Random(seed)
+        self.network = Network(self.random)
+        self.store = FakeSharedStore()
+        self.lines: list[bytes] = []
+        self.vms = [self._start(index) for index in range(count)]
+
+    def kill(self, vm: ReplicaVm) -> None:
+        """End a VM without a word."""
+        vm.timers.stop()
+        self.network.leave(vm.address)
+
+    def isolate(self, vm: ReplicaVm) -> None:
+        """Cut a VM off from all others, in both directions."""
+        for other in self.vms:
+            self.network.cut(vm.name, other.name)
+            self.network.cut(other.name, vm.name)
+
+    def stop(self) -> None:
+        """End all VMs."""
+        for vm in self.vms:
+            vm.timers.stop()
+
+    def _start(self, index: int) -> ReplicaVm:
+        name = VmName(f'vm-{index}')
+        zone = ZoneName('abc'[index % 3])
+        clock = VirtualClock()
+        journal = Journal(name, 1, lambda: WallTime(0.0), self.lines.append)
+        address = Address(f'10.0.0.{index}', 7000)
+        link = FakeLink(name, Incarnation(1), self.network)
+        self.network.join(address, link)
+        record = VmRecord(name, f'{address.host}:{address.port}', zone)
+        directory = Directory(record, journal)
+        state = FleetState(PlainDecoder(), journal)
+        replication = Replication(
+            record,
+            FakeClient(name, self.store),
+            link,
+            directory,
+            state,
+            clock,
+            self.random,
+            journal,
+        )
+        coordinators = Coordinators(
+            name,
+            link,
+            directory,
+            state,
+            clock,
+            self.random,
+            journal,
+            RepeatPolicy(),
+        )
+        timers = TimerService(self.random)
+        replication.start(timers)
+        coordinators.start(timers)
+        return ReplicaVm(name, replication, coordinators, timers, address)
--- a/tests/support/virtual.py
+++ b/tests/support/virtual.py
@@ -185,6 +185,7 @@
         self.incarnation = incarnation
         self.network = network
         self.handlers: dict[str, Any] = {}
+        self._telling: set[asyncio.Task[None]] = set()
         self.messages = 0
         self.octets = 0
 
@@ -206,6 +207,20 @@
         except TimeoutError as error:
             raise PeerTimeoutError(str(address)) from error
 
+    def tell(self, address: Address, kind: str, fields: Any) -> None:
+        """Send a message that is not answered."""
+        task = asyncio.create_task(self._tell(address, kind, fields))
+        self._telling.add(task)
+        task.add_done_callback(self._telling.discard)
+
+    async def _tell(self, address: Address, kind: str, fields: Any) -> None:
+        self._count(kind, fields)
+        await asyncio.sleep(self.network.latency_s())
+        peer = self.network.link_at(address)
+        if peer is not None and self.network.carries(self.me, peer.me):
+            question = Question(self.me, self.incarnation, _Fields(fields))
+            peer.handlers[kind](question)
+
     async def _call(self, address: Address, kind: str, fields: Any) -> Any:
         self._count(kind, fields)
         await asyncio.sleep(self.network.latency_s())
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -111,8 +111,7 @@
             status, _, _ = await gateway.ask('POST', body=b'x' * 9)
             assert status == 200
         assert all(
-            received.body == b'x' * 9
-            for received in upstreams[1].received
+            received.body == b'x' * 9 for received in upstreams[1].received
         )
 
     config = configuration(RouteKind.UPLOAD)
@@ -306,9 +305,7 @@
     async def check(gateway: Gateway, upstreams: Upstreams) -> None:
         await gateway.ask(path='/other/1')
         lines = [json.loads(line) for line in gateway.lines]
-        refused = [
-            line for line in lines if line['event'] == 'request.refused'
-        ]
+        refused = [line for line in lines if line['event'] == 'request.refused']
         assert refused[0]['request'] == 'request-1'
         assert refused[0]['problem'] == 'route-unknown'
         assert refused[0]['configuration'] == 7
--- /dev/null
+++ b/tests/unit/test_replication.py
@@ -0,0 +1,205 @@
+"""How changes of the store reach all VMs, on virtual time."""
+
+import asyncio
+from typing import Awaitable, Callable
+
+from teaselquay.decisions import ServiceName, UpstreamName
+from tests.support.replicas import RATE, ReplicaFleet
+from tests.support.virtual import run_virtual
+
+#: The users' bounds for a configuration and for a leaving upstream.
+IN_FORCE_S = 2.0
+SERVICE = ServiceName('s')
+UP = UpstreamName('one')
+
+
+def _run(count: int, check: Callable[[ReplicaFleet], Awaitable[None]]) -> None:
+    async def main() -> None:
+        fleet = ReplicaFleet(count)
+        fleet.store.put('config', 1)
+        fleet.store.put('up/one', 'ready')
+        await asyncio.sleep(5)
+        try:
+            await check(fleet)
+        finally:
+            fleet.stop()
+
+    run_virtual(main)
+
+
+def test_change_is_in_force_on_every_vm_in_time():
+    async def check(fleet: ReplicaFleet) -> None:
+        assert {vm.version for vm in fleet.vms} == {1}
+        fleet.store.put('config', 2)
+        await asyncio.sleep(IN_FORCE_S)
+        assert {vm.version for vm in fleet.vms} == {2}
+
+    _run(24, check)
+
+
+def test_calm_minute_costs_few_calls():
+    async def check(fleet: ReplicaFleet) -> None:
+        before = fleet.store.calls
+        await asyncio.sleep(60)
+        # Three zones, a watch of two seconds each.
+        assert fleet.store.calls - before <= 3 * 60 / 2 + 3
+
+    _run(24, check)
+
+
+def test_vm_that_no_peer_answers_reads_the_store():
+    async def check(fleet: ReplicaFleet) -> None:
+        for vm in fleet.vms[:8]:
+            fleet.isolate(vm)
+        fleet.store.put('config', 2)
+        await asyncio.sleep(IN_FORCE_S)
+        assert {vm.version for vm in fleet.vms} == {2}
+
+    _run(24, check)
+
+
+def test_readers_that_the_store_turns_away_are_replaced():
+    async def check(fleet: ReplicaFleet) -> None:
+        readers = {vm.name for vm in fleet.vms if vm.replication._is_reader()}
+        assert len(readers) == 3
+        fleet.store.away = readers
+        fleet.store.put('config', 2)
+        await asyncio.sleep(0.05)
+        fleet.store.put('config', 3)
+        await asyncio.sleep(2 * IN_FORCE_S)
+        assert {vm.version for vm in fleet.vms} == {3}
+
+    _run(24, check)
+
+
+def test_killed_readers_are_replaced():
+    async def check(fleet: ReplicaFleet) -> None:
+        dead = [vm for vm in fleet.vms if vm.replication._is_reader()]
+        for vm in dead:
+            fleet.kill(vm)
+        fleet.store.put('config', 2)
+        await asyncio.sleep(2 * IN_FORCE_S)
+        live = [vm for vm in fleet.vms if vm not in dead]
+        assert {vm.version for vm in live} == {2}
+
+    _run(24, check)
+
+
+def test_lost_history_is_read_anew_with_what_was_removed():
+    async def check(fleet: ReplicaFleet) -> None:
+        fleet.store.is_down = True
+        await asyncio.sleep(2.5)
+        fleet.store.put('up/one', None)
+        fleet.store.put('up/two', 'ready')
+        fleet.store.compacted = fleet.store.revision
+        fleet.store.is_down = False
+        await asyncio.sleep(8)
+        for vm in fleet.vms:
+            assert [up.name for up in vm.state.usable(SERVICE)] == ['two']
+
+    _run(9, check)
+
+
+def test_lapsed_upstream_is_kept_until_it_had_time_to_come_back():
+    async def check(fleet: ReplicaFleet) -> None:
+        fleet.store.is_down = True
+        await asyncio.sleep(3)
+        fleet.store.put('up/one', None)
+        fleet.store.is_down = False
+        await asyncio.sleep(1.5)
+        assert all(vm.state.is_usable(UP) for vm in fleet.vms)
+        fleet.store.put('up/one', 'ready')
+        await asyncio.sleep(5)
+        assert all(vm.state.is_usable(UP) for vm in fleet.vms)
+
+    _run(9, check)
+
+
+def test_removed_upstream_is_used_no_more_while_the_store_is_well():
+    async def check(fleet: ReplicaFleet) -> None:
+        fleet.store.put('up/one', None)
+        await asyncio.sleep(IN_FORCE_S)
+        assert not any(vm.state.is_usable(UP) for vm in fleet.vms)
+
+    _run(9, check)
+
+
+def test_entry_that_cannot_be_read_names_no_upstream():
+    async def check(fleet: ReplicaFleet) -> None:
+        fleet.store.put('up/one', 'asleep')
+        fleet.store.put('up/two', 'ready')
+        await asyncio.sleep(IN_FORCE_S)
+        for vm in fleet.vms:
+            assert [up.name for up in vm.state.usable(SERVICE)] == ['two']
+
+    _run(3, check)
+
+
+def test_vms_that_coordinate_nothing_are_in_contact():
+    async def check(fleet: ReplicaFleet) -> None:
+        await asyncio.sleep(20)
+        for vm in fleet.vms:
+            directory = vm.replication.directory
+            silent_s = vm.replication.clock.now() - directory.last_contact
+            assert silent_s < 1
+
+    _run(24, check)
+
+
+def test_quota_holds_over_parts_of_the_fleet():
+    async def check(fleet: ReplicaFleet) -> None:
+        for left in fleet.vms[:8]:
+            for right in fleet.vms[8:]:
+                fleet.network.cut(left.name, right.name)
+                fleet.network.cut(right.name, left.name)
+        await asyncio.sleep(2)
+        admitted = await _storm(fleet, 5.0)
+        # The users allow a tenth above rate and burst, and twenty more.
+        assert admitted <= (RATE * 5 + RATE) * 1.1 + 20
+        assert admitted >= RATE * 5 * 0.7
+
+    _run(24, check)
+
+
+def test_quota_holds_while_its_coordinator_dies():
+    async def check(fleet: ReplicaFleet) -> None:
+        dead = []
+        for vm in fleet.vms:
+            directory = vm.replication.directory
+            subject = vm.coordinators._quota_subject('acme')
+            now = vm.replication.clock.now()
+            if directory.ranked(subject, now)[0] == vm.name:
+                dead.append(vm)
+        assert len(dead) == 1
+        storm = asyncio.create_task(_storm(fleet, 5.0, without=dead[0]))
+        await asyncio.sleep(2)
+        fleet.kill(dead[0])
+        assert await storm <= (RATE * 5 + RATE) * 1.1 + 20
+
+    _run(24, check)
+
+
+async def _storm(
+    fleet: ReplicaFleet,
+    seconds: float,
+    without: object = None,
+) -> int:
+    """Return how many requests are admitted of ten times the rate."""
+    admitted = 0
+
+    async def ask(index: int) -> None:
+        nonlocal admitted
+        vm = fleet.vms[index % len(fleet.vms)]
+        table = vm.state.table
+        if vm is without or table is None:
+            return
+        team = table.configuration.teams_by_name['acme']
+        wait_s = await vm.coordinators.admit(team)
+        admitted += wait_s == 0
+
+    tasks = []
+    for index in range(int(RATE * 10 * seconds)):
+        tasks.append(asyncio.create_task(ask(index)))
+        await asyncio.sleep(1 / (RATE * 10))
+    await asyncio.gather(*tasks)
+    return admitted
