--- a/teaselquay/coordination/_scheduling.py
+++ b/teaselquay/coordination/_scheduling.py
@@ -62,8 +62,9 @@
 #: An upstream's queue in multiples of its slots, beyond which it sheds.
 _QUEUE_FACTOR = 3.0
 #: Shares of requests that are not served: from the first on, upstreams
-#: that had no work are favoured more and more, up to the second, which is
-#: what the users allow.
+#: that had no work are favoured more and more. At the second, which is what
+#: the users allow, they go before unknown ones, and at twice the excess
+#: before all but those that failed a moment ago.
 _UNSERVED_LOW = 0.05
 _UNSERVED_HIGH = 0.1
 #: The time that is looked back on, in seconds, and its fewest requests.
@@ -71,8 +72,10 @@
 _LEAST_COUNTED = 10
 #: An upstream that got nothing for so long is without work, in seconds.
 _UNUSED_S = 1.1
-#: Largest gain of trying one: it outweighs the risk of an unknown one.
+#: Gain of trying one at the second share: it outweighs the risk of an
+#: unknown one. The largest is a multiple of it.
 _UNUSED_GAIN = 0.4
+_MOST_UNUSED_GAINS = 2.0
 #: Least time that a refused caller is told to wait, in seconds.
 _LEAST_WAIT_S = 0.25
 _BYTES_PER_MB = 1e6
@@ -340,7 +343,7 @@
         unserved = sum(1 for _, is_served in self._ended if not is_served)
         above = unserved / count - _UNSERVED_LOW
         part = above / (_UNSERVED_HIGH - _UNSERVED_LOW)
-        return _UNUSED_GAIN * min(1, max(0, part))
+        return _UNUSED_GAIN * min(_MOST_UNUSED_GAINS, max(0, part))
 
     def _expected_s(
         self,
