--- a/teaselquay/coordination/__init__.py
+++ b/teaselquay/coordination/__init__.py
@@ -2,16 +2,16 @@
 
 from teaselquay.coordination._belief import Belief, SpellModel
 from teaselquay.coordination._budget import RepeatBudget, RepeatPolicy
-from teaselquay.coordination._quotas import QuotaLedger
-from teaselquay.coordination._scheduling import (
+from teaselquay.coordination._placement import (
     Outcome,
     Placement,
     PlacementRefusal,
     PlacementRequest,
     RefusalReason,
-    ServiceScheduler,
     Ticket,
 )
+from teaselquay.coordination._quotas import QuotaLedger
+from teaselquay.coordination._scheduling import ServiceScheduler
 
 __all__ = (
     'Belief',
--- a/teaselquay/coordination/_quotas.py
+++ b/teaselquay/coordination/_quotas.py
@@ -68,7 +68,8 @@
         bucket = self._buckets.get(team)
         if bucket is None:
             level = min(most, max(1.0, rate * _START_S))
-            bucket = self._buckets[team] = _Bucket(level, now)
+            bucket = _Bucket(level, now)
+            self._buckets[team] = bucket
         elapsed_s = max(0, now - bucket.as_of)
         bucket.level = min(most, bucket.level + elapsed_s * rate)
         bucket.as_of = max(bucket.as_of, now)
--- a/teaselquay/coordination/_scheduling.py
+++ b/teaselquay/coordination/_scheduling.py
@@ -7,14 +7,22 @@
 
 from collections import deque
 from dataclasses import dataclass, field
-from enum import Enum
 from heapq import heappop, heappush
 from random import Random
-from typing import NewType, Sequence
+from typing import Sequence
 
 from teaselquay.configuration import UpstreamRecord
 from teaselquay.coordination._belief import Belief, SpellModel
 from teaselquay.coordination._budget import RepeatBudget, RepeatPolicy
+from teaselquay.coordination._placement import (
+    FAILURES,
+    Outcome,
+    Placement,
+    PlacementRefusal,
+    PlacementRequest,
+    RefusalReason,
+    Ticket,
+)
 from teaselquay.decisions import (
     Instant,
     Quarantine,
@@ -22,11 +30,8 @@
     RecentSuccesses,
     UpstreamName,
     VmName,
-    ZoneName,
 )
 
-#: Number of one attempt, unique in the fleet.
-Ticket = NewType('Ticket', int)
 
 #: A failure is quick if it came in this part of the usual time; a request
 #: that is not answered by then was not failed at once.
@@ -83,77 +88,7 @@
 #: Least time that a refused caller is told to wait, in seconds.
 _LEAST_WAIT_S = 0.25
 _BYTES_PER_MB = 1e6
-
-
-class Outcome(Enum):
-    """How an attempt at an upstream ended."""
-
-    SERVED = 'served'
-    #: The upstream answered that it failed.
-    FAILED = 'failed'
-    #: The connection broke, or the answer was not whole.
-    BROKEN = 'broken'
-    #: No answer came in time.
-    TIMED_OUT = 'timed-out'
-    #: The upstream declined, and did not run the request.
-    SHED = 'shed'
-    #: Another upstream has the address now.
-    MISDIRECTED = 'misdirected'
-    #: No connection was made.
-    UNREACHABLE = 'unreachable'
-    #: The caller left, or another attempt was answered first.
-    CANCELLED = 'cancelled'
-    #: The request was refused before an upstream was chosen.
-    REFUSED = 'refused'
-
-
-_FAILURES = frozenset((Outcome.FAILED, Outcome.BROKEN, Outcome.TIMED_OUT))
-
-
-class RefusalReason(Enum):
-    """Why a request was not placed."""
-
-    NO_UPSTREAM = 'no-upstream'
-    OVERLOADED = 'overloaded'
-    REPEAT_BUDGET = 'repeat-budget'
-    QUARANTINED = 'quarantined'
-
-
-@dataclass(frozen=True, slots=True)
-class PlacementRequest:
-    """What is to be placed.
-
-    `may_repeat` says that another attempt may follow if this one fails.
-    `left_s` is the time to the deadline, `target_left_s` the time in which
-    an answer has its full worth.
-    """
-
-    ticket: Ticket
-    zone: ZoneName
-    may_repeat: bool
-    left_s: float
-    target_left_s: float
-    octets: int = 0
-    is_repeat: bool = False
-    excluded: frozenset[UpstreamName] = frozenset()
-    fingerprint: bytes = b''
-
-
-@dataclass(frozen=True, slots=True)
-class Placement:
-    """The upstream to use, and what was believed of it."""
-
-    upstream: UpstreamName
-    in_spell: float
-    in_flight: int
-
-
-@dataclass(frozen=True, slots=True)
-class PlacementRefusal:
-    """A request that should not be sent now."""
-
-    reason: RefusalReason
-    retry_after_s: float
+_NOBODY = VmName('')
 
 
 @dataclass(slots=True)
@@ -185,6 +120,10 @@
         return len(recent) >= _UNREACHABLE_VMS
 
 
+def _new_quarantine() -> Quarantine:
+    return Quarantine(QuarantinePolicy(crashes=_MOST_CRASHES))
+
+
 @dataclass(slots=True)
 class ServiceScheduler:
     """Load, beliefs and budgets of one service."""
@@ -192,11 +131,7 @@
     random: Random
     model: SpellModel = SpellModel()
     repeats: RepeatPolicy = RepeatPolicy()
-    quarantine: Quarantine = field(
-        default_factory=lambda: Quarantine(
-            QuarantinePolicy(crashes=_MOST_CRASHES),
-        ),
-    )
+    quarantine: Quarantine = field(default_factory=_new_quarantine)
     successes: RecentSuccesses = field(default_factory=RecentSuccesses)
     mean_s: float = _FIRST_GUESS_S
     _budget: RepeatBudget | None = None
@@ -236,7 +171,7 @@
         outcome: Outcome,
         latency_s: float,
         now: Instant,
-        vm: VmName = VmName(''),
+        vm: VmName = _NOBODY,
         fingerprint: bytes = b'',
     ) -> None:
         """Take in how an attempt ended, here or as another VM tells."""
@@ -263,9 +198,11 @@
     def forget_missing(self, upstreams: Sequence[UpstreamRecord]) -> None:
         """Forget upstreams that are not among `upstreams`."""
         kept = {up.name for up in upstreams}
-        for name in [name for name in self._known if name not in kept]:
-            if not self._known[name].in_flight:
-                del self._known[name]
+        self._known = {
+            name: known
+            for name, known in self._known.items()
+            if name in kept or known.in_flight
+        }
 
     def _learn(
         self,
@@ -277,7 +214,7 @@
     ) -> None:
         known = self._of(upstream)
         began = Instant(now - latency_s)
-        if outcome in _FAILURES:
+        if outcome in FAILURES:
             is_quick = latency_s < self._quick_s()
             is_plain = outcome is Outcome.FAILED
             known.belief.failed(now, is_quick or not is_plain)
@@ -459,5 +396,6 @@
     def _of(self, upstream: UpstreamName) -> _Knowledge:
         known = self._known.get(upstream)
         if known is None:
-            known = self._known[upstream] = _Knowledge(Belief(self.model))
+            known = _Knowledge(Belief(self.model))
+            self._known[upstream] = known
         return known
--- a/teaselquay/fleet/_coordinators.py
+++ b/teaselquay/fleet/_coordinators.py
@@ -21,7 +21,6 @@
     Ticket,
 )
 from teaselquay.decisions import (
-    Instant,
     ServiceName,
     TeamName,
     UpstreamName,
--- a/teaselquay/fleet/_replication.py
+++ b/teaselquay/fleet/_replication.py
@@ -88,8 +88,9 @@
         """Read the store for as long as this VM is its zone's reader."""
         if not self._registered:
             await self._begin()
-        while self._is_reader() and await self._read(_WATCH_S):
-            continue
+        goes_on = True
+        while goes_on and self._is_reader():
+            goes_on = await self._read(_WATCH_S)
 
     async def pull_once(self) -> None:
         """Pull from a reader, or read the store if no peer answers.
@@ -263,8 +264,9 @@
         """Return whether the peer at `address` answered."""
         self._pulling = True
         try:
-            while await self._pull_part(address):
-                continue
+            is_behind = True
+            while is_behind:
+                is_behind = await self._pull_part(address)
         except PeerTimeoutError:
             self._suspect(address)
             return False
--- a/teaselquay/gateway/_call.py
+++ b/teaselquay/gateway/_call.py
@@ -17,6 +17,7 @@
     Clock,
     ConnectError,
     ConnectionPool,
+    Header,
     HttpConnection,
 )
 
@@ -187,13 +188,10 @@
             head = b''
         async for part in self.body.stream():
             if part:
-                framed = b'%x\r\n%b\r\n' % (len(part), part)
-                await self.connection.write(
-                    head + (framed if is_chunked else part),
-                )
+                await self.connection.write(head + _frame(part, is_chunked))
                 head = b''
-        if is_chunked or head:
-            end = b'0\r\n\r\n' if is_chunked else b''
+        end = b'0\r\n\r\n' if is_chunked else b''
+        if head or end:
             await self.connection.write(head + end)
 
     def _head(self, left_s: float) -> bytes:
@@ -201,44 +199,57 @@
         target = exchange.scope['raw_path']
         if exchange.scope['query_string']:
             target = target + b'?' + exchange.scope['query_string']
+        fields = [
+            (b'host', exchange.header(b'host') or b''),
+            *self._own_fields(left_s),
+            *self._forwarded_fields(),
+            *self._length_fields(),
+        ]
+        lines = [b'%b %b HTTP/1.1' % (exchange.method.encode(), target)]
+        lines.extend(b'%b: %b' % field_pair for field_pair in fields)
+        return b'\r\n'.join(lines) + b'\r\n\r\n'
+
+    def _own_fields(self, left_s: float) -> list[Header]:
+        """Return what upstreams are told by this VM alone."""
         dialect = self.dialect
-        upstream = self.target.upstream.name.encode()
-        lines = [
-            b'%b %b HTTP/1.1' % (exchange.method.encode(), target),
-            b'host: ' + (exchange.header(b'host') or b''),
-            b'%b: %d' % (dialect.deadline_ms, max(1, int(left_s * _MS_PER_S))),
-            b'%b: %b' % (dialect.expected_upstream, upstream),
+        left_ms = max(1, int(left_s * _MS_PER_S))
+        fields = [
+            (dialect.deadline_ms, b'%d' % left_ms),
+            (dialect.expected_upstream, self.target.upstream.name.encode()),
         ]
         if self.target.team:
-            team = self.target.team.encode()
-            lines.append(b'%b: %b' % (dialect.team, team))
+            fields.append((dialect.team, self.target.team.encode()))
+        return fields
+
+    def _forwarded_fields(self) -> list[Header]:
+        dialect = self.dialect
         own = {
             dialect.deadline_ms,
             dialect.expected_upstream,
             dialect.team,
             dialect.api_key,
         }
-        left_out = _NOT_FORWARDED | own | _connection_fields(exchange)
-        lines.extend(
-            b'%b: %b' % (name, field_value)
-            for name, field_value in exchange.headers
-            if name not in left_out
-        )
-        length = exchange.header(b'content-length')
+        left_out = _NOT_FORWARDED | own | _connection_fields(self.exchange)
+        return [
+            pair for pair in self.exchange.headers if pair[0] not in left_out
+        ]
+
+    def _length_fields(self) -> list[Header]:
+        length = self.exchange.header(b'content-length')
         if length is not None:
-            lines.append(b'content-length: ' + length)
-        elif exchange.has_body():
-            lines.append(b'transfer-encoding: chunked')
-        return b'\r\n'.join(lines) + b'\r\n\r\n'
+            return [(b'content-length', length)]
+        if self.exchange.has_body():
+            return [(b'transfer-encoding', b'chunked')]
+        return []
 
     def _declined(self, head: AnswerHead) -> CallResult | None:
         """Return the result if the upstream says that it ran nothing."""
         if head.status == _MISDIRECTED:
             outcome = Outcome.MISDIRECTED
-        elif _field(head, self.dialect.not_executed) is not None:
-            outcome = Outcome.SHED
-        else:
+        elif _field(head, self.dialect.not_executed) is None:
             return None
+        else:
+            outcome = Outcome.SHED
         assert self.connection is not None
         self.connection.close()
         return CallResult(outcome, False, f'status {head.status}', head)
@@ -273,6 +284,12 @@
         return CallResult(outcome, True, f'status {head.status}', head, body)
 
 
+def _frame(part: bytes, is_chunked: bool) -> bytes:
+    if is_chunked:
+        return b'%x\r\n%b\r\n' % (len(part), part)
+    return part
+
+
 def _field(head: AnswerHead, name: bytes) -> bytes | None:
     for found, field_value in head.headers:
         if found == name:
--- a/teaselquay/gateway/_dispatch.py
+++ b/teaselquay/gateway/_dispatch.py
@@ -95,7 +95,7 @@
         gone = asyncio.create_task(self.errand.body.gone.wait())
         try:
             while True:
-                found = await self._start() if not self._running else None
+                found = None if self._running else await self._start()
                 if found is None:
                     found = await self._wait(gone)
                 if found is not None:
@@ -111,12 +111,12 @@
             RefusedError: there is neither.
         """
         placed = await self._place()
-        if not isinstance(placed, PlacementRefusal):
-            self._begin(*placed)
-            return None
-        if self._last is None:
-            raise self._refusal(placed)
-        return self._last
+        if isinstance(placed, PlacementRefusal):
+            if self._last is None:
+                raise self._refusal(placed)
+            return self._last
+        self._begin(*placed)
+        return None
 
     async def _place(
         self,
@@ -230,13 +230,12 @@
         )
 
     def _can_hedge(self) -> bool:
-        return (
-            self._may_hedge
-            and bool(self._running)
-            and self.errand.route.is_idempotent
-            and self.errand.body.can_replay
-            and self._sent < self.errand.route.max_attempts
-        )
+        route = self.errand.route
+        if not self._running or not route.is_idempotent:
+            return False
+        if self._sent >= route.max_attempts:
+            return False
+        return self._may_hedge and self.errand.body.can_replay
 
     async def _hedge(self) -> None:
         if not self._can_hedge():
--- a/teaselquay/gateway/_parts.py
+++ b/teaselquay/gateway/_parts.py
@@ -29,8 +29,9 @@
 
     def names(self, now: Instant) -> frozenset[UpstreamName]:
         """Return the upstreams to avoid."""
-        for name in [up for up, until in self._until.items() if now >= until]:
-            del self._until[name]
+        self._until = {
+            name: until for name, until in self._until.items() if now < until
+        }
         return frozenset(self._until)
 
 
--- a/teaselquay/gateway/_process.py
+++ b/teaselquay/gateway/_process.py
@@ -26,7 +26,7 @@
 from teaselquay.gateway._dialect import Dialect
 from teaselquay.gateway._parts import GatewayParts
 from teaselquay.gateway._settings import GatewaySettings
-from teaselquay.serving import bind, serve_app
+from teaselquay.serving import SignalFreeServer, bind, serve_app
 from teaselquay.shells import (
     Address,
     Codec,
@@ -139,41 +139,33 @@
         Raises:
             OSError: an address cannot be bound.
         """
-        stop = asyncio.Event()
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, stop.set)
+        stop = _stop_signal()
         await self._link.open(self._settings.peer)
         control = serve_app(self._control_app(), _FIRST_IDLE_S)
-        serving = [
-            asyncio.create_task(
-                self._callers.serve([_bound(self._settings.callers)]),
-            ),
-            asyncio.create_task(
-                control.serve(
-                    [
-                        _bound(self._settings.ready),
-                        _bound(self._settings.metrics),
-                    ],
-                ),
-            ),
-        ]
-        self._parts.replication.start(self._timers)
-        self._parts.coordinators.start(self._timers)
-        self._timers.subscribe('ready', _READY_PERIOD_S, self._follow_ready)
-        self._journal.emit(Event.STARTED, zone=self._settings.zone)
+        settings = self._settings
+        serving = asyncio.gather(
+            self._callers.serve([_bound(settings.callers)]),
+            control.serve([_bound(settings.ready), _bound(settings.metrics)]),
+        )
+        self._start_parts()
         await stop.wait()
         await self._drain()
-        self._callers.should_exit = True
-        self._callers.force_exit = True
-        control.should_exit = True
-        control.force_exit = True
-        await asyncio.gather(*serving)
+        _end(self._callers, control)
+        await serving
+        self._close()
+
+    def _close(self) -> None:
         self._timers.stop()
         self._link.close()
         self._parts.pool.close()
         self._journal.emit(Event.STOPPED)
 
+    def _start_parts(self) -> None:
+        self._parts.replication.start(self._timers)
+        self._parts.coordinators.start(self._timers)
+        self._timers.subscribe('ready', _READY_PERIOD_S, self._follow_ready)
+        self._journal.emit(Event.STARTED, zone=self._settings.zone)
+
     async def _drain(self) -> None:
         """Tell everyone, and wait for open requests."""
         parts = self._parts
@@ -250,5 +242,20 @@
         )
 
 
+def _stop_signal() -> asyncio.Event:
+    """Return an event that is set once the process is asked to stop."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    return stop
+
+
+def _end(*servers: SignalFreeServer) -> None:
+    for server in servers:
+        server.should_exit = True
+        server.force_exit = True
+
+
 def _bound(address: Address) -> socket.socket:
     return bind(f'{address.host}:{address.port}')
--- a/teaselquay/platform/__main__.py
+++ b/teaselquay/platform/__main__.py
@@ -23,7 +23,7 @@
 )
 from teaselquay.platform._store import PlatformStore
 
-_VARIABLE = 'TEASELQUAY_SETTINGS'
+_SETTINGS_VARIABLE = 'TEASELQUAY_SETTINGS'
 _EXIT_SETTINGS = 2
 _EXIT_ADDRESS = 3
 _MICROSECONDS = 1_000
@@ -40,10 +40,10 @@
 @main.command()
 @click.option(
     '--settings',
-    envvar=_VARIABLE,
+    envvar=_SETTINGS_VARIABLE,
     required=True,
     type=click.Path(path_type=Path),
-    help=f'The settings file; {_VARIABLE} names it otherwise.',
+    help=f'The settings file; {_SETTINGS_VARIABLE} names it otherwise.',
 )
 def check(settings: Path) -> None:
     """Check the settings file and start nothing."""
@@ -54,10 +54,10 @@
 @main.command()
 @click.option(
     '--settings',
-    envvar=_VARIABLE,
+    envvar=_SETTINGS_VARIABLE,
     required=True,
     type=click.Path(path_type=Path),
-    help=f'The settings file; {_VARIABLE} names it otherwise.',
+    help=f'The settings file; {_SETTINGS_VARIABLE} names it otherwise.',
 )
 def serve(settings: Path) -> None:
     """Serve until SIGTERM.
@@ -155,11 +155,10 @@
 
 def _log_to(journal: Journal) -> None:
     root = std_logging.getLogger()
-    root.handlers[:] = [journal.handler()]
-    root.setLevel(std_logging.WARNING)
+    for handler in tuple(root.handlers):
+        root.removeHandler(handler)
+    root.addHandler(journal.handler())
     logging.set_verbosity(logging.WARNING)
-    absl_logger = logging.get_absl_logger()
-    absl_logger.handlers[:] = []
 
 
 if __name__ == '__main__':
--- a/teaselquay/platform/_decoding.py
+++ b/teaselquay/platform/_decoding.py
@@ -37,6 +37,9 @@
 UPSTREAMS = 'servers/'
 VMS = 'teaselquay/vms/'
 
+#: What reading a document of another shape raises.
+_UNREADABLE = (KeyError, TypeError, ValueError, AttributeError)
+
 _KINDS = {
     'idempotent': RouteKind.IDEMPOTENT,
     'non_idempotent': RouteKind.NON_IDEMPOTENT,
@@ -66,7 +69,7 @@
                 return _upstream(upstream, json.loads(entry.value))
             if vm is not None:
                 return _vm(vm, json.loads(entry.value))
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
+        except _UNREADABLE as error:
             fault = CatalogFault(entry.key, '', repr(error))
             raise EntryError(fault) from error
         return None
--- a/teaselquay/server/_process.py
+++ b/teaselquay/server/_process.py
@@ -6,7 +6,6 @@
 import time
 from dataclasses import dataclass
 from random import SystemRandom
-from typing import Iterator
 
 import uvicorn
 from absl import logging
