Prove the program on the platform as a process, and forget what an upstream did before a restart

The adapter had no test of the whole program: start, readiness, a request, reload, faulty settings, removal of an upstream, and a stop that cuts nothing.

--- a/teaselquay/coordination/_scheduling.py
+++ b/teaselquay/coordination/_scheduling.py
@@ -103,6 +103,8 @@
     """What is known of one upstream."""
 
     belief: Belief
+    #: The start of the upstream that this is about.
+    started_ms: int = 0
     in_flight: int = 0
     last_used: Instant = Instant(0.0)
     #: Running mean of its latency, divided by the service's.
@@ -149,6 +151,7 @@
     ) -> Placement | PlacementRefusal:
         """Return where `request` goes, and count it there."""
         self._settle(now)
+        self._forget_earlier_starts(upstreams)
         if self.quarantine.is_stopped(request.fingerprint, now):
             return PlacementRefusal(
                 RefusalReason.QUARANTINED,
@@ -204,6 +207,20 @@
             if name in kept or known.in_flight
         }
 
+    def _forget_earlier_starts(
+        self,
+        upstreams: Sequence[UpstreamRecord],
+    ) -> None:
+        """Forget what an upstream did before it started again."""
+        for upstream in upstreams:
+            known = self._of(upstream.name)
+            if known.started_ms != upstream.started_ms:
+                self._known[upstream.name] = _Knowledge(
+                    Belief(self.model),
+                    upstream.started_ms,
+                    known.in_flight,
+                )
+
     def _learn(
         self,
         upstream: UpstreamName,
--- /dev/null
+++ b/tests/platform/test_process.py
@@ -0,0 +1,190 @@
+"""The program on the platform as a separate process, from start to stop."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.platform.test_decoding import CONFIGURATION, UPSTREAM
+from tests.standins.platform_store import PlatformStoreStandIn
+from tests.support.gateway import (
+    Received,
+    ScriptedUpstream,
+    answer,
+    read_whole,
+)
+
+pytestmark = pytest.mark.processes
+
+_HEAD = (
+    b'POST /p/1 HTTP/1.1\r\nhost: h.example\r\nx-request-id: r1\r\n'
+    b'x-key: k\r\nx-deadline-ms: 5000\r\ncontent-length: 1\r\n\r\nx'
+)
+
+
+def _configuration() -> bytes:
+    """Return a configuration whose only route goes to one service."""
+    document = json.loads(json.dumps(CONFIGURATION))
+    route = document['routes']['r']
+    del route['weighted-services']
+    route['service'] = 's'
+    return json.dumps(document).encode()
+
+
+def _free_ports(count: int) -> list[int]:
+    sockets = [socket.create_server(('127.0.0.1', 0)) for _ in range(count)]
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
+
+
+class _Program:
+    """The process with its settings, the store and one upstream."""
+
+    def __init__(self, folder: Path) -> None:
+        self.front, self.ready, self.peer = _free_ports(3)
+        self.file = folder / 'node.json'
+        self.store = PlatformStoreStandIn()
+        self.upstream = ScriptedUpstream(self._work)
+        self.lines: list[dict[str, Any]] = []
+        self.work_s = 0.0
+
+    async def start(self) -> None:
+        await self.store.start()
+        await self.upstream.start()
+        self.write_settings(grace='6s')
+        await self.store.put('op/config', _configuration())
+        entry = {**UPSTREAM, 'address': f'127.0.0.1:{self.upstream.port}'}
+        await self.store.put('servers/i-1', json.dumps(entry).encode())
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'teaselquay.platform',
+            'serve',
+            env={**os.environ, 'TEASELQUAY_SETTINGS': str(self.file)},
+            stdout=asyncio.subprocess.PIPE,
+        )
+        self.reading = asyncio.create_task(self._read())
+        while await self._status('/ready') != 200:
+            await asyncio.sleep(0.05)
+
+    def write_settings(self, grace: str) -> None:
+        document = {
+            'node-name': 'front-1',
+            'ip': '127.0.0.1',
+            'zone': 'a',
+            'listen-addrs': {
+                'front': f'127.0.0.1:{self.front}',
+                'ready': f'127.0.0.1:{self.ready}',
+            },
+            'internal-ports': [self.peer, self.peer],
+            'bounds': {'grace': grace},
+            'platform': {'address': f'127.0.0.1:{self.store.port}'},
+        }
+        self.file.write_text(json.dumps(document))
+
+    async def ask(self) -> tuple[int, dict[str, str], bytes]:
+        reader, writer = await asyncio.open_connection('127.0.0.1', self.front)
+        writer.write(_HEAD)
+        try:
+            return await read_whole(reader)
+        finally:
+            writer.close()
+
+    async def logged(self, event: str) -> dict[str, Any]:
+        """Return the first line of `event`, once it came."""
+        while True:
+            for line in self.lines:
+                if line['event'] == event:
+                    return line
+            await asyncio.sleep(0.02)
+
+    async def stop(self) -> int:
+        self.process.send_signal(signal.SIGTERM)
+        code = await self.process.wait()
+        await self.reading
+        self.store.close()
+        self.upstream.close()
+        return code
+
+    async def _status(self, path: str) -> int:
+        try:
+            reader, writer = await asyncio.open_connection(
+                '127.0.0.1',
+                self.ready,
+            )
+        except ConnectionError:
+            return 0
+        writer.write(b'GET %b HTTP/1.1\r\nhost: h\r\n\r\n' % path.encode())
+        status, _, _ = await read_whole(reader)
+        writer.close()
+        return status
+
+    async def _read(self) -> None:
+        assert self.process.stdout is not None
+        async for line in self.process.stdout:
+            self.lines.append(json.loads(line))
+
+    async def _work(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        received: Received,
+    ) -> None:
+        await reader.readexactly(1)
+        await asyncio.sleep(self.work_s)
+        writer.write(answer(received, x_response_stamp='stamp'))
+
+
+def test_program_serves_reloads_and_stops_without_a_cut(tmp_path: Path):
+    async def main() -> None:
+        program = _Program(tmp_path)
+        await program.start()
+        status, headers, body = await program.ask()
+        assert (status, body) == (200, b'ok')
+        assert headers['x-response-stamp'] == 'stamp'
+        received = program.upstream.received[0]
+        assert received.headers['x-tenant'] == 't'
+        assert received.headers['x-expect-instance'] == 'i-1'
+        assert 'x-key' not in received.headers
+        program.write_settings(grace='5s')
+        program.process.send_signal(signal.SIGHUP)
+        await program.logged('settings.reloaded')
+        program.file.write_text('{')
+        program.process.send_signal(signal.SIGHUP)
+        rejected = await program.logged('settings.rejected')
+        assert 'Expecting' in rejected['reason']
+        program.work_s = 1.0
+        asking = asyncio.create_task(program.ask())
+        while len(program.upstream.received) < 2:
+            await asyncio.sleep(0.02)
+        code = await program.stop()
+        assert (await asking)[0] == 200
+        assert code == 0
+        events = [line['event'] for line in program.lines]
+        assert events[0] == 'process.started'
+        assert events[-1] == 'process.stopped'
+
+    asyncio.run(main())
+
+
+def test_change_and_removal_in_the_store_are_followed(tmp_path: Path):
+    async def main() -> None:
+        program = _Program(tmp_path)
+        await program.start()
+        await program.store.remove('servers/i-1')
+        await program.logged('upstream.removed')
+        status, headers, _ = await program.ask()
+        assert status == 503
+        assert float(headers['retry-after']) > 0
+        assert not program.upstream.received
+        await program.stop()
+
+    asyncio.run(main())
--- a/tests/unit/test_scheduling.py
+++ b/tests/unit/test_scheduling.py
@@ -1,5 +1,6 @@
 """Placement, beliefs, budgets and quotas, by replayed load patterns."""
 
+from dataclasses import replace
 from random import Random
 
 from teaselquay.configuration import UpstreamRecord, UpstreamState
@@ -162,6 +163,18 @@
     assert scheduler.in_spell(name, Instant(10.2)) == before
 
 
+def test_restart_under_the_same_name_begins_anew():
+    scheduler = ServiceScheduler(Random(1))
+    upstreams = _upstreams(1)
+    name = upstreams[0].name
+    scheduler.place(_request(1), upstreams, Instant(1.0))
+    scheduler.finish(Ticket(1), name, Outcome.FAILED, 0.003, Instant(1.0))
+    assert scheduler.in_spell(name, Instant(1.0)) > 0.9
+    again = [replace(upstreams[0], started_ms=5)]
+    scheduler.place(_request(2), again, Instant(1.0))
+    assert scheduler.in_spell(name, Instant(1.0)) < 0.5
+
+
 def test_load_is_spread_by_what_is_in_flight():
     scheduler = ServiceScheduler(Random(1))
     upstreams = _upstreams(4)
