Log late answers, what was believed at each placement, and attempts that were ended

Cause: a late answer left no line, and a failed attempt did not say what was believed of its upstream.

--- a/teaselquay/gateway/_app.py
+++ b/teaselquay/gateway/_app.py
@@ -149,6 +149,18 @@
             await self._answer(answer)
         finally:
             call.release()
+        if self._elapsed_s() > route.target_latency_s:
+            parts.journal.emit(
+                Event.REQUEST_LATE,
+                request=self._request_id,
+                route=route.name,
+                service=service,
+                upstream=call.target.upstream.name,
+                status=self._exchange.status,
+                after_s=self._elapsed_s(),
+                target_s=route.target_latency_s,
+                upstream_s=round(parts.clock.now() - call.began, 3),
+            )
 
     def _check_head(self, table: RoutingTable) -> None:
         exchange = self._exchange
--- a/teaselquay/gateway/_dispatch.py
+++ b/teaselquay/gateway/_dispatch.py
@@ -64,6 +64,7 @@
 class _Running:
     call: UpstreamCall
     ticket: Ticket
+    placement: Placement
     task: 'asyncio.Task[CallResult]'
 
 
@@ -184,7 +185,7 @@
         self._tried.add(upstream.name)
         self._sent += 1
         task = asyncio.create_task(call.run())
-        self._running.append(_Running(call, ticket, task))
+        self._running.append(_Running(call, ticket, placement, task))
 
     async def _wait(
         self,
@@ -248,7 +249,11 @@
         if isinstance(placed, PlacementRefusal):
             self._may_hedge = False
             return
-        self._log(Event.REQUEST_REPEATED, cause='slow', placed=placed[0])
+        self._log(
+            Event.REQUEST_REPEATED,
+            cause='slow',
+            **_placement_fields(placed[0]),
+        )
         self._begin(*placed)
 
     def _take(
@@ -265,12 +270,12 @@
             return call, result
         self._log(
             Event.ATTEMPT_FAILED,
-            upstream=upstream.name,
             outcome=result.outcome.value,
             may_have_run=result.may_have_run,
             reason=result.reason,
             took_s=round(took_s, 3),
             reused=call.is_reused,
+            **_placement_fields(running.placement),
         )
         self._may_have_run = self._may_have_run or result.may_have_run
         if result.outcome is Outcome.UNREACHABLE:
@@ -332,6 +337,12 @@
             running.call.abort()
             outcome = Outcome.TIMED_OUT if is_late else Outcome.CANCELLED
             took_s = now - running.call.began
+            self._log(
+                Event.ATTEMPT_ENDED,
+                outcome=outcome.value,
+                took_s=round(took_s, 3),
+                **_placement_fields(running.placement),
+            )
             self._finish(
                 running.ticket,
                 running.call.target.upstream.name,
@@ -373,3 +384,12 @@
             sent=self._sent,
             **fields,
         )
+
+
+def _placement_fields(placement: Placement) -> dict[str, object]:
+    """Return where an attempt went, and what was believed then."""
+    return {
+        'upstream': placement.upstream,
+        'in_spell': round(placement.in_spell, 3),
+        'in_flight': placement.in_flight,
+    }
