--- a/tests/unit/test_events.py
+++ b/tests/unit/test_events.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+from pathlib import Path
 
 from teaselquay.decisions import WallTime
 from teaselquay.events import Event, Journal, LineWriter
@@ -63,3 +64,10 @@
     writer.write(b'line\n')
     assert writer.dropped == 2
     os.close(writing)
+
+
+def test_operations_page_lists_every_event():
+    page = Path(__file__).parents[2] / 'docs' / 'OPERATIONS.md'
+    text = page.read_text()
+    missing = [item.value for item in Event if f'`{item.value}`' not in text]
+    assert not missing
