Use young kept connections for all requests, and prefer upstreams that they lead to

Risk: such a request is lost with its connection; one loss halves the idle time that a service's connections are trusted for. Ruled out: keeping more of them without affinity, as a VM meets the same upstream every 20 s.

--- a/teaselquay/coordination/_placement.py
+++ b/teaselquay/coordination/_placement.py
@@ -61,6 +61,8 @@
     octets: int = 0
     is_repeat: bool = False
     excluded: frozenset[UpstreamName] = frozenset()
+    #: Upstreams that a kept connection of the asking VM leads to.
+    connected: frozenset[UpstreamName] = frozenset()
     fingerprint: bytes = b''
 
 
--- a/teaselquay/coordination/_scheduling.py
+++ b/teaselquay/coordination/_scheduling.py
@@ -49,6 +49,9 @@
 #: Loss for each megabyte that crosses zones, in shares of one request, from
 #: the users' price of transfer.
 _ZONE_LOSS_PER_MB = 3.0
+#: Gain of a kept connection, from the users' price of new ones: about a
+#: twentieth of a request.
+_CONNECTED_GAIN = 0.04
 #: Loss at a full upstream: some slow down when they are nearly full.
 _FULL_LOSS = 0.02
 #: Loss of a cold upstream, beside its slower work.
@@ -287,6 +290,8 @@
             loss -= unused_gain
         if upstream.zone != request.zone:
             loss += request.octets / _BYTES_PER_MB * _ZONE_LOSS_PER_MB
+        if upstream.name in request.connected:
+            loss -= _CONNECTED_GAIN
         if now < known.shed_until:
             loss += 1
         # Equal upstreams are drawn by chance, which matters on fallback.
--- a/teaselquay/fleet/_coordinators.py
+++ b/teaselquay/fleet/_coordinators.py
@@ -350,6 +350,7 @@
         'octets': request.octets,
         'isRepeat': request.is_repeat,
         'excluded': sorted(request.excluded),
+        'connected': sorted(request.connected),
         'fingerprint': request.fingerprint,
     }
 
@@ -364,6 +365,7 @@
         octets=body.octets,
         is_repeat=body.isRepeat,
         excluded=frozenset(map(UpstreamName, body.excluded)),
+        connected=frozenset(map(UpstreamName, body.connected)),
         fingerprint=bytes(body.fingerprint),
     )
 
--- a/teaselquay/gateway/_call.py
+++ b/teaselquay/gateway/_call.py
@@ -52,7 +52,8 @@
 
     upstream: UpstreamRecord
     deadline: Instant
-    use_pool: bool
+    #: Longest idle time of a kept connection, 0 for a new one only.
+    most_idle_s: float
     team: str = ''
 
 
@@ -84,6 +85,8 @@
     clock: Clock
     connection: HttpConnection | None = None
     is_reused: bool = False
+    #: How long a reused connection had been idle.
+    idle_s: float = 0.0
     began: Instant = Instant(0.0)
     _sender: 'asyncio.Task[None] | None' = None
     _held: list[bytes] = field(default_factory=list)
@@ -137,11 +140,12 @@
 
     async def _connect(self) -> HttpConnection:
         address = Address.parse(self.target.upstream.address)
-        if self.target.use_pool:
-            pooled = self.pool.take(address, self.clock.now())
-            if pooled is not None:
-                self.is_reused = True
-                return pooled
+        now = self.clock.now()
+        pooled = self.pool.take(address, now, self.target.most_idle_s)
+        if pooled is not None:
+            self.is_reused = True
+            self.idle_s = now - pooled.last_used
+            return pooled
         left_s = self.target.deadline - self.clock.now()
         return await HttpConnection.open(
             address,
--- a/teaselquay/gateway/_dispatch.py
+++ b/teaselquay/gateway/_dispatch.py
@@ -33,9 +33,13 @@
 _HEDGE_FACTOR = 2.5
 #: Part of the target latency after which a hedge may be sent.
 _HEDGE_TARGET_SHARE = 0.75
+#: Idle time that an idempotent request trusts, in multiples of what others
+#: do: it can be sent again.
+_IDEMPOTENT_IDLES = 1.6
 #: Addresses that may turn out unreachable or stale for one request.
 _MOST_UNSENT = 4
 _DECLINED = frozenset((Outcome.SHED, Outcome.MISDIRECTED, Outcome.UNREACHABLE))
+_ANSWERED = frozenset((Outcome.SERVED, Outcome.FAILED, Outcome.SHED))
 _KINDS = {
     RefusalReason.NO_UPSTREAM: ProblemKind.NO_UPSTREAM,
     RefusalReason.OVERLOADED: ProblemKind.QUEUE_TIMEOUT,
@@ -156,9 +160,25 @@
             octets=int(length) + self.parts.answer_bytes,
             is_repeat=self._sent > 0,
             excluded=frozenset(self._tried | avoided),
+            connected=self.parts.connected(
+                errand.service,
+                self._most_idle_s(),
+            ),
             fingerprint=errand.fingerprint,
         )
 
+    def _most_idle_s(self) -> float:
+        """Return how old a kept connection of the next attempt may be.
+
+        A second attempt gets a new one: the path may have gone silent.
+        """
+        if self._sent:
+            return 0
+        limit_s = self.parts.reuse.limit_s(self.errand.service)
+        if self.errand.route.is_idempotent:
+            return _IDEMPOTENT_IDLES * limit_s
+        return limit_s
+
     def _leaves_repeat(self) -> bool:
         """Return whether the next attempt may be followed by another."""
         route = self.errand.route
@@ -170,7 +190,7 @@
         target = CallTarget(
             upstream=upstream,
             deadline=errand.deadline,
-            use_pool=errand.route.is_idempotent and not self._sent,
+            most_idle_s=self._most_idle_s(),
             team=errand.team,
         )
         call = UpstreamCall(
@@ -266,6 +286,7 @@
         upstream = call.target.upstream
         took_s = self.parts.clock.now() - call.began
         self._finish(running.ticket, upstream.name, result.outcome, took_s)
+        self._learn_reuse(call, result.outcome)
         if result.outcome is Outcome.SERVED:
             return call, result
         self._log(
@@ -291,6 +312,14 @@
             raise self._failure(result)
         return None
 
+    def _learn_reuse(self, call: UpstreamCall, outcome: Outcome) -> None:
+        if not call.is_reused:
+            return
+        if outcome is Outcome.BROKEN:
+            self.parts.reuse.lost(self.errand.service, call.idle_s)
+        elif outcome in _ANSWERED:
+            self.parts.reuse.kept(self.errand.service)
+
     def _may_repeat(self, result: CallResult) -> bool:
         if not self.errand.body.can_replay:
             return False
--- a/teaselquay/gateway/_parts.py
+++ b/teaselquay/gateway/_parts.py
@@ -4,10 +4,11 @@
 from random import Random
 
 from teaselquay.configuration import UpstreamRecord
-from teaselquay.decisions import Instant, UpstreamName
+from teaselquay.decisions import Instant, ServiceName, UpstreamName
 from teaselquay.events import Journal
 from teaselquay.fleet import Coordinators, FleetState, Replication
 from teaselquay.gateway._dialect import Dialect
+from teaselquay.gateway._reuse import ReuseAges
 from teaselquay.gateway._settings import GatewaySettings
 from teaselquay.shells import Address, Clock, ConnectionPool, Metrics
 
@@ -50,12 +51,26 @@
     clock: Clock
     random: Random
     unreachable: Unreachable = field(default_factory=Unreachable)
+    reuse: ReuseAges = field(default_factory=ReuseAges)
     #: Usual size of an answer in bytes.
     answer_bytes: int = _ANSWER_BYTES
     is_stopping: bool = False
     #: Whether requests are refused because the process ends soon.
     is_closed: bool = False
 
+    def connected(
+        self,
+        service: ServiceName,
+        most_idle_s: float,
+    ) -> frozenset[UpstreamName]:
+        """Return the upstreams that a kept connection leads to."""
+        now = self.clock.now()
+        return frozenset(
+            record.name
+            for record in self.state.usable(service)
+            if self.pool.has(Address.parse(record.address), now, most_idle_s)
+        )
+
     def drop_connections(self, upstream: UpstreamRecord) -> None:
         """Close the idle connections to `upstream`."""
         self.pool.drop(Address.parse(upstream.address))
--- a/teaselquay/shells/_http.py
+++ b/teaselquay/shells/_http.py
@@ -318,16 +318,36 @@
         self._most_idle = most_idle
         self._idle_by_address: dict[Address, deque[HttpConnection]] = {}
 
-    def take(self, address: Address, now: float) -> HttpConnection | None:
-        """Return an idle connection that was used a short time ago."""
+    def take(
+        self,
+        address: Address,
+        now: float,
+        most_idle_s: float | None = None,
+    ) -> HttpConnection | None:
+        """Return the idle connection that was used last, if it may be.
+
+        One that was idle for longer than `most_idle_s`, where that is less
+        than the pool's own limit, stays in the pool.
+        """
+        if not self.has(address, now, most_idle_s):
+            return None
+        return self._idle_by_address[address].pop()
+
+    def has(
+        self,
+        address: Address,
+        now: float,
+        most_idle_s: float | None = None,
+    ) -> bool:
+        """Return whether `take` would return a connection."""
         idle = self._idle_by_address.get(address)
         while idle:
-            connection = idle.pop()
-            fresh = now - connection.last_used <= self._most_idle_s
-            if fresh and connection.reusable:
-                return connection
-            connection.close()
-        return None
+            connection = idle[-1]
+            idle_s = now - connection.last_used
+            if idle_s <= self._most_idle_s and connection.reusable:
+                return most_idle_s is None or idle_s <= most_idle_s
+            idle.pop().close()
+        return False
 
     def give_back(
         self,
--- a/teaselquay/shells/messages.capnp
+++ b/teaselquay/shells/messages.capnp
@@ -193,6 +193,7 @@
   isRepeat @7 :Bool;
   excluded @8 :List(Text);
   fingerprint @9 :Data;
+  connected @10 :List(Text);
 }
 
 # `refusal` is empty for a placed request.
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -8,6 +8,7 @@
 from teaselquay.configuration import RouteKind
 from tests.support.gateway import (
     KEY,
+    SERVICE,
     Gateway,
     Received,
     ScriptedUpstream,
@@ -301,6 +302,52 @@
     run_with(configuration(rate=2), [replies()], check)
 
 
+def test_kept_connections_are_used_again_while_they_are_young():
+    async def check(gateway: Gateway, upstreams: Upstreams) -> None:
+        for _ in range(5):
+            status, _, _ = await gateway.ask('POST', body=b'x')
+            assert status == 200
+        assert upstreams[0].connections == 1
+        gateway.parts.reuse.lost(SERVICE, 0.01)
+        await asyncio.sleep(0.1)
+        status, _, _ = await gateway.ask('POST', body=b'x')
+        assert status == 200
+        assert upstreams[0].connections == 2
+
+    config = configuration(RouteKind.NON_IDEMPOTENT)
+    run_with(config, [replies()], check)
+
+
+def test_request_lost_with_its_connection_is_not_sent_again():
+    async def handle(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        received: Received,
+    ) -> None:
+        if received is upstream_received()[0]:
+            await replies()(reader, writer, received)
+        else:
+            writer.transport.abort()
+
+    found: Upstreams = []
+
+    def upstream_received() -> list[Received]:
+        return found[0].received
+
+    async def check(gateway: Gateway, upstreams: Upstreams) -> None:
+        found.extend(upstreams)
+        before_s = gateway.parts.reuse.limit_s(SERVICE)
+        assert (await gateway.ask('POST', body=b'x'))[0] == 200
+        status, _, body = await gateway.ask('POST', body=b'x')
+        assert status == 502
+        assert json.loads(body)['run'] == 'unknown'
+        assert _sent(upstreams) == 2
+        assert gateway.parts.reuse.limit_s(SERVICE) < before_s / 2
+
+    config = configuration(RouteKind.NON_IDEMPOTENT)
+    run_with(config, [handle], check)
+
+
 def test_each_refusal_is_logged_with_its_request():
     async def check(gateway: Gateway, upstreams: Upstreams) -> None:
         await gateway.ask(path='/other/1')
--- a/tests/unit/test_scheduling.py
+++ b/tests/unit/test_scheduling.py
@@ -175,6 +175,28 @@
     assert scheduler.in_spell(name, Instant(1.0)) < 0.5
 
 
+def test_kept_connection_decides_between_equals_only():
+    scheduler = ServiceScheduler(Random(1))
+    upstreams = _upstreams(8)
+    wanted = upstreams[5].name
+    connected = frozenset((wanted,))
+    placed = scheduler.place(
+        _request(1, connected=connected),
+        upstreams,
+        Instant(1.0),
+    )
+    assert isinstance(placed, Placement)
+    assert placed.upstream == wanted
+    scheduler.finish(Ticket(1), wanted, Outcome.FAILED, 0.003, Instant(1.0))
+    again = scheduler.place(
+        _request(2, connected=connected),
+        upstreams,
+        Instant(1.0),
+    )
+    assert isinstance(again, Placement)
+    assert again.upstream != wanted
+
+
 def test_load_is_spread_by_what_is_in_flight():
     scheduler = ServiceScheduler(Random(1))
     upstreams = _upstreams(4)
