--- a/teaselquay/gateway/_app.py
+++ b/teaselquay/gateway/_app.py
@@ -65,15 +65,12 @@
         send: Send,
     ) -> None:
         """Answer one request."""
-        exchange = Exchange(
-            scope=scope,
-            receive=receive,
-            send=send,
-            began=self._parts.clock.now(),
-            method=scope['method'],
-            path=scope['path'],
-            headers=list(scope['headers']),
-            close_after=self._parts.is_stopping,
+        exchange = Exchange.from_scope(
+            scope,
+            receive,
+            send,
+            self._parts.clock.now(),
+            self._parts.is_stopping,
         )
         try:
             await _Request(exchange, self._parts).serve()
--- a/teaselquay/gateway/_call.py
+++ b/teaselquay/gateway/_call.py
@@ -9,7 +9,7 @@
 from teaselquay.decisions import Instant
 from teaselquay.gateway._body import RequestBody
 from teaselquay.gateway._dialect import Dialect
-from teaselquay.pipeline import Exchange
+from teaselquay.pipeline import NOT_FORWARDED, Exchange
 from teaselquay.shells import (
     Address,
     AnswerHead,
@@ -29,21 +29,6 @@
 _MS_PER_S = 1000
 _FIRST_SERVER_ERROR = 500
 _MISDIRECTED = 421
-#: Fields that concern one connection, or that a proxy sets itself.
-_NOT_FORWARDED = frozenset(
-    (
-        b'connection',
-        b'content-length',
-        b'expect',
-        b'host',
-        b'keep-alive',
-        b'proxy-connection',
-        b'te',
-        b'trailer',
-        b'transfer-encoding',
-        b'upgrade',
-    ),
-)
 
 
 @dataclass(frozen=True, slots=True)
@@ -233,7 +218,7 @@
             dialect.team,
             dialect.api_key,
         }
-        left_out = _NOT_FORWARDED | own | _connection_fields(self.exchange)
+        left_out = NOT_FORWARDED | own | _connection_fields(self.exchange)
         return [
             pair for pair in self.exchange.headers if pair[0] not in left_out
         ]
--- a/teaselquay/pipeline/__init__.py
+++ b/teaselquay/pipeline/__init__.py
@@ -13,12 +13,13 @@
         Scope,
         Send,
     )
-    from teaselquay.pipeline._framing import check_lengths
+    from teaselquay.pipeline._framing import NOT_FORWARDED, check_lengths
     from teaselquay.pipeline._order import PIPELINE, Filter, Pipeline
     from teaselquay.pipeline._parts import Parts
     from teaselquay.pipeline._queues import ServiceQueues
 
 __all__ = (
+    'NOT_FORWARDED',
     'PIPELINE',
     'CallerGoneError',
     'Exchange',
@@ -38,6 +39,7 @@
         'CallerGoneError': '_exchange',
         'Exchange': '_exchange',
         'Filter': '_order',
+        'NOT_FORWARDED': '_framing',
         'PIPELINE': '_order',
         'Parts': '_parts',
         'Pipeline': '_order',
--- a/teaselquay/pipeline/_exchange.py
+++ b/teaselquay/pipeline/_exchange.py
@@ -85,6 +85,27 @@
     _end_hooks: list[EndHook] = field(default_factory=list)
     _body_octets: int = 0
 
+    @classmethod
+    def from_scope(
+        cls,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+        began: Instant,
+        close_after: bool,
+    ) -> 'Exchange':
+        """Return the exchange of one ASGI call."""
+        return cls(
+            scope=scope,
+            receive=receive,
+            send=send,
+            began=began,
+            method=scope['method'],
+            path=scope['path'],
+            headers=list(scope['headers']),
+            close_after=close_after,
+        )
+
     def header(self, name: bytes) -> bytes | None:
         """Return the value of the first header field called `name`."""
         for found, value in self.headers:
--- a/teaselquay/pipeline/_framing.py
+++ b/teaselquay/pipeline/_framing.py
@@ -3,6 +3,22 @@
 from teaselquay.decisions import ProblemKind, refuse
 from teaselquay.pipeline._exchange import Exchange
 
+#: Fields of a request that concern one connection, or that are set anew.
+NOT_FORWARDED = frozenset(
+    (
+        b'connection',
+        b'content-length',
+        b'expect',
+        b'host',
+        b'keep-alive',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+    ),
+)
+
 
 def check_lengths(exchange: Exchange) -> None:
     """Refuse requests whose length or host can be read in two ways.
--- a/teaselquay/pipeline/_order.py
+++ b/teaselquay/pipeline/_order.py
@@ -70,15 +70,12 @@
         send: Send,
     ) -> None:
         """Answer one request."""
-        exchange = Exchange(
-            scope=scope,
-            receive=receive,
-            send=send,
-            began=self._parts.now(),
-            method=scope['method'],
-            path=scope['path'],
-            headers=list(scope['headers']),
-            close_after=self._parts.node.stopping,
+        exchange = Exchange.from_scope(
+            scope,
+            receive,
+            send,
+            self._parts.now(),
+            self._parts.node.stopping,
         )
         tracer = self._parts.tracer
         received = tracer.traceparent(exchange.header(b'traceparent'))
--- a/teaselquay/pipeline/_wire.py
+++ b/teaselquay/pipeline/_wire.py
@@ -11,26 +11,12 @@
 )
 from teaselquay.pipeline._exchange import Exchange
 from teaselquay.pipeline._filters import check_key_again
+from teaselquay.pipeline._framing import NOT_FORWARDED
 from teaselquay.pipeline._parts import Parts
 from teaselquay.shells import HttpConnection
 
 _MS_PER_S = 1000
-_NOT_FORWARDED = frozenset(
-    (
-        b'connection',
-        b'content-length',
-        b'expect',
-        b'host',
-        b'keep-alive',
-        b'proxy-connection',
-        b'te',
-        b'trailer',
-        b'traceparent',
-        b'transfer-encoding',
-        b'upgrade',
-        b'x-request-timeout-ms',
-    ),
-)
+_NOT_FORWARDED = NOT_FORWARDED | {b'traceparent', b'x-request-timeout-ms'}
 
 
 async def send_request(
--- a/teaselquay/platform/__main__.py
+++ b/teaselquay/platform/__main__.py
@@ -31,6 +31,14 @@
 #: signal are then in force well within what the platform allows.
 _FILE_PERIOD_S = 1.0
 
+_settings_option = click.option(
+    '--settings',
+    envvar=_SETTINGS_VARIABLE,
+    required=True,
+    type=click.Path(path_type=Path),
+    help=f'The settings file; {_SETTINGS_VARIABLE} names it otherwise.',
+)
+
 
 @click.group()
 def main() -> None:
@@ -38,13 +46,7 @@
 
 
 @main.command()
-@click.option(
-    '--settings',
-    envvar=_SETTINGS_VARIABLE,
-    required=True,
-    type=click.Path(path_type=Path),
-    help=f'The settings file; {_SETTINGS_VARIABLE} names it otherwise.',
-)
+@_settings_option
 def check(settings: Path) -> None:
     """Check the settings file and start nothing."""
     _settings_or_exit(settings)
@@ -52,13 +54,7 @@
 
 
 @main.command()
-@click.option(
-    '--settings',
-    envvar=_SETTINGS_VARIABLE,
-    required=True,
-    type=click.Path(path_type=Path),
-    help=f'The settings file; {_SETTINGS_VARIABLE} names it otherwise.',
-)
+@_settings_option
 def serve(settings: Path) -> None:
     """Serve until SIGTERM.
 
