--- a/teaselquay/coordination/_scheduling.py
+++ b/teaselquay/coordination/_scheduling.py
@@ -54,7 +54,7 @@
 _CONNECTED_GAIN = 0.04
 #: Loss at a full upstream: some slow down when they are nearly full.
 _FULL_LOSS = 0.02
-#: Loss of a cold upstream, beside its slower work.
+#: How many times longer a cold upstream works, as the users' servers do.
 _COLD_FACTOR = 2.0
 #: Share of the time left that the wait and the work may be expected to take.
 _MOST_OF_TIME_LEFT = 0.9
--- a/teaselquay/fleet/_replication.py
+++ b/teaselquay/fleet/_replication.py
@@ -128,9 +128,8 @@
         began = self.clock.now()
         read = await self.store.changes(self.replica.revision, wait_s)
         if isinstance(read, Success):
-            # A watch that waited shows that nothing came until its answer,
-            # less the way back, which is shorter than the way was.
-            waited_s = self.clock.now() - began
+            # The answer shows that nothing newer came until shortly before
+            # it; half of the wait leaves room for a slow way back.
             instant = Instant(began + min(wait_s, waited_s) / 2)
             self._store_answered(instant)
             self._merge(read.unwrap(), tell=True)
