--- a/teaselquay/fleet/_replication.py
+++ b/teaselquay/fleet/_replication.py
@@ -128,6 +128,7 @@
         began = self.clock.now()
         read = await self.store.changes(self.replica.revision, wait_s)
         if isinstance(read, Success):
+            waited_s = self.clock.now() - began
             # The answer shows that nothing newer came until shortly before
             # it; half of the wait leaves room for a slow way back.
             instant = Instant(began + min(wait_s, waited_s) / 2)
