--- a/tests/unit/test_binary.py
+++ b/tests/unit/test_binary.py
@@ -14,6 +14,21 @@
 _BINARY = Path(__file__).resolve().parents[2] / 'dist' / 'teaselquay'
 
 
+def _open_files(pid: int) -> list[str]:
+    """Return what the descriptors of a process lead to, from one look.
+
+    A descriptor that is closed between the listing and its reading makes
+    the look incomplete, so that it is taken again.
+    """
+    while True:
+        try:
+            return [
+                os.readlink(link) for link in Path(f'/proc/{pid}/fd').iterdir()
+            ]
+        except FileNotFoundError:
+            continue
+
+
 def test_binary_starts_no_process_and_writes_only_where_it_says(tmp_path):
     assert _BINARY.exists(), 'make binary was not run'
     unpacked = tmp_path / 'unpacked'
@@ -41,9 +56,7 @@
         pid = vm.process.pid
         tasks = Path(f'/proc/{pid}/task').iterdir()
         children = [(task / 'children').read_text() for task in tasks]
-        opened = [
-            os.readlink(link) for link in Path(f'/proc/{pid}/fd').iterdir()
-        ]
+        opened = _open_files(pid)
         vm.signal(signal.SIGTERM)
         assert vm.process.wait(30) == 0
     assert not ''.join(children).strip()
