Count second sends of a service with the budget that was there

Found by reading the change: RepeatBudget was RetryBudget once more, with another cap. The cap is a field now; the starting level and what is earned and spent are as they were. Proved by test_scheduling and test_gateway (44 passed), linter and types.

--- a/teaselquay/coordination/__init__.py
+++ b/teaselquay/coordination/__init__.py
@@ -1,7 +1,7 @@
 """Decisions of a service's or a team's coordinator, without I/O or clock."""
 
 from teaselquay.coordination._belief import Belief, SpellModel
-from teaselquay.coordination._budget import RepeatBudget, RepeatPolicy
+from teaselquay.coordination._budget import RepeatPolicy
 from teaselquay.coordination._placement import (
     Outcome,
     Placement,
@@ -21,7 +21,6 @@
     'PlacementRequest',
     'QuotaLedger',
     'RefusalReason',
-    'RepeatBudget',
     'RepeatPolicy',
     'ServiceScheduler',
     'SpellModel',
--- a/teaselquay/coordination/_budget.py
+++ b/teaselquay/coordination/_budget.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from teaselquay.decisions import RetryBudget
+
 
 @dataclass(frozen=True, slots=True)
 class RepeatPolicy:
@@ -14,32 +16,6 @@
     ratio: float = 0.15
     stock: float = 20.0
 
-
-@dataclass(slots=True)
-class RepeatBudget:
-    """Counts what requests earn and second sends spend.
-
-    >>> budget = RepeatBudget(RepeatPolicy(ratio=0.5, stock=1), saved=0)
-    >>> budget.earn(); budget.earn()
-    >>> budget.take(), budget.take()
-    (True, False)
-    """
-
-    policy: RepeatPolicy
-    saved: float = -1.0
-
-    def __post_init__(self) -> None:
-        """Begin with half of the stock unless told otherwise."""
-        if self.saved < 0:
-            self.saved = self.policy.stock / 2
-
-    def earn(self) -> None:
-        """Count a request."""
-        self.saved = min(self.policy.stock, self.saved + self.policy.ratio)
-
-    def take(self) -> bool:
-        """Return whether one second send is allowed, and count it."""
-        if self.saved < 1:
-            return False
-        self.saved -= 1
-        return True
+    def new_budget(self) -> RetryBudget:
+        """Return a budget that begins with half of the stock."""
+        return RetryBudget(self.ratio, self.stock / 2, self.stock)
--- a/teaselquay/coordination/_scheduling.py
+++ b/teaselquay/coordination/_scheduling.py
@@ -13,7 +13,7 @@
 
 from teaselquay.configuration import UpstreamRecord
 from teaselquay.coordination._belief import Belief, SpellModel
-from teaselquay.coordination._budget import RepeatBudget, RepeatPolicy
+from teaselquay.coordination._budget import RepeatPolicy
 from teaselquay.coordination._placement import (
     FAILURES,
     Outcome,
@@ -28,6 +28,7 @@
     Quarantine,
     QuarantinePolicy,
     RecentSuccesses,
+    RetryBudget,
     UpstreamName,
     VmName,
 )
@@ -139,7 +140,7 @@
     quarantine: Quarantine = field(default_factory=_new_quarantine)
     successes: RecentSuccesses = field(default_factory=RecentSuccesses)
     mean_s: float = _FIRST_GUESS_S
-    _budget: RepeatBudget | None = None
+    _budget: RetryBudget | None = None
     _known: dict[UpstreamName, _Knowledge] = field(default_factory=dict)
     _flights: dict[Ticket, _Flight] = field(default_factory=dict)
     _outlasting: deque[tuple[Instant, Ticket]] = field(default_factory=deque)
@@ -410,9 +411,9 @@
     def _spend_repeat(self) -> bool:
         return self._repeat_budget().take()
 
-    def _repeat_budget(self) -> RepeatBudget:
+    def _repeat_budget(self) -> RetryBudget:
         if self._budget is None:
-            self._budget = RepeatBudget(self.repeats)
+            self._budget = self.repeats.new_budget()
         return self._budget
 
     def _of(self, upstream: UpstreamName) -> _Knowledge:
