--- a/teaselquay/events/_registry.py
+++ b/teaselquay/events/_registry.py
@@ -17,6 +17,7 @@
     READER_CHANGED = 'store.reader-changed'
     HISTORY_LOST = 'store.history-lost'
     ENTRY_REJECTED = 'store.entry-rejected'
+    CHANGES_TOLD = 'changes.told'
     CONFIGURATION_APPLIED = 'configuration.applied'
     UPSTREAM_ADDED = 'upstream.added'
     UPSTREAM_CHANGED = 'upstream.changed'
@@ -35,4 +36,5 @@
     PLACED_LOCALLY = 'placement.local'
     PLACEMENT_REFUSED = 'placement.refused'
     QUOTA_EXCEEDED = 'quota.exceeded'
+    LOOP_LATE = 'loop.late'
     MESSAGE = 'message'
--- a/teaselquay/fleet/_coordinators.py
+++ b/teaselquay/fleet/_coordinators.py
@@ -277,7 +277,7 @@
         try:
             answer = await self.link.call(address, kind, fields, _ASK_TIMEOUT_S)
         except PeerTimeoutError:
-            self.directory.timed_out(vm, self.clock.now())
+            self.directory.timed_out(vm, kind, self.clock.now())
             return None
         self.directory.heard(vm, self.clock.now())
         return answer
--- a/teaselquay/fleet/_directory.py
+++ b/teaselquay/fleet/_directory.py
@@ -86,13 +86,14 @@
         if self._suspect_until.pop(vm, None) is not None:
             self.journal.emit(Event.PEER_REGAINED, peer=vm)
 
-    def timed_out(self, vm: VmName, now: Instant) -> None:
-        """Note that `vm` did not answer."""
+    def timed_out(self, vm: VmName, asked: str, now: Instant) -> None:
+        """Note that `vm` did not answer what it was asked."""
         if vm not in self._suspect_until:
             heard = self._heard.get(vm)
             self.journal.emit(
                 Event.PEER_LOST,
                 peer=vm,
+                asked=asked,
                 heard_s_ago=None if heard is None else round(now - heard, 3),
             )
         self._suspect_until[vm] = Instant(now + _SUSPECT_S)
--- a/teaselquay/fleet/_replication.py
+++ b/teaselquay/fleet/_replication.py
@@ -15,7 +15,12 @@
 from teaselquay.decisions import Delta, Entry, Instant, Replica, Revision
 from teaselquay.events import Event, Journal
 from teaselquay.fleet._directory import Directory
-from teaselquay.fleet._state import FleetState
+from teaselquay.fleet._state import (
+    FROM_STORE,
+    ChangeSource,
+    FleetState,
+    Origin,
+)
 from teaselquay.fleet._store import HistoryLost, SharedStore
 from teaselquay.shells import (
     Address,
@@ -146,7 +151,7 @@
             # it; half of the wait leaves room for a slow way back.
             instant = Instant(began + min(wait_s, waited_s) / 2)
             self._store_answered(instant)
-            self._merge(read.unwrap(), self._settled_s(), tell=True)
+            self._merge(read.unwrap(), self._settled_s(), FROM_STORE)
             return True
         fault = read.failure()
         if isinstance(fault, HistoryLost):
@@ -163,7 +168,7 @@
             return False
         self._store_answered(began)
         whole = self._with_removed(read.unwrap())
-        self._merge(whole, self._settled_s(), tell=True)
+        self._merge(whole, self._settled_s(), FROM_STORE)
         return True
 
     def _with_removed(self, whole: Delta) -> Delta:
@@ -177,16 +182,17 @@
         entries = (*whole.entries, *removed)
         return Delta(Revision(0), whole.upto, entries)
 
-    def _merge(self, delta: Delta, settled_s: float, tell: bool) -> None:
+    def _merge(self, delta: Delta, settled_s: float, origin: Origin) -> None:
         """Take in `delta`, from a store that has answered for so long."""
         before = self.replica.revision
         changed = self.replica.merge(delta)
         if not changed and before:
             return
         now = self.clock.now()
-        self.state.apply(changed, now, settled_s)
+        self.state.apply(changed, now, settled_s, origin)
         self.directory.replace(self.state.vms_by_name.values(), now)
-        if tell and before:
+        is_read = origin.source is ChangeSource.READ
+        if before and (is_read or self._was_reader):
             self._tell_zone(before)
 
     def _tell_zone(self, since: Revision) -> None:
@@ -207,7 +213,16 @@
             if name != self.record.name
             and (record.zone == self.record.zone or name in readers)
         ]
-        self.link.tell_all(addresses, 'changed', self._pulled_fields(since))
+        fields = self._pulled_fields(since)
+        octets = self.link.tell_all(addresses, 'changed', fields)
+        if fields['entries']:
+            self.journal.emit(
+                Event.CHANGES_TOLD,
+                since=since,
+                upto=fields['upto'],
+                vms=len(addresses),
+                datagram_bytes=octets,
+            )
 
     def _store_answered(self, instant: Instant) -> None:
         if self._settled_at == _NEVER or self._is_outage():
@@ -302,7 +317,7 @@
     def _suspect(self, address: Address) -> None:
         name = self.directory.name_of(address)
         if name is not None:
-            self.directory.timed_out(name, self.clock.now())
+            self.directory.timed_out(name, 'pull', self.clock.now())
 
     async def _pull_part(self, address: Address) -> bool:
         asked = self.clock.now()
@@ -313,14 +328,15 @@
             self.directory.heard(name, self.clock.now())
             if pulled.isStoreLost:
                 self.directory.store_lost(name, self.clock.now())
-        behind = self._take(pulled, asked)
+        origin = Origin(ChangeSource.PULLED, name)
+        behind = self._take(pulled, asked, origin)
         if behind and not pulled.entries:
             # An entry is too large for a datagram.
             await self._read(0)
             return False
         return behind
 
-    def _take(self, pulled: Any, as_of: Instant) -> bool:
+    def _take(self, pulled: Any, as_of: Instant, origin: Origin) -> bool:
         """Take in what a reader knows; return whether there is more."""
         settled_s = pulled.storeSettledMs / _MS_PER_S
         if self._was_reader:
@@ -328,7 +344,7 @@
             settled_s = min(settled_s, self._settled_s())
         else:
             self._settled_at = Instant(self.clock.now() - settled_s)
-        self._merge(parse_delta(pulled), settled_s, tell=self._was_reader)
+        self._merge(parse_delta(pulled), settled_s, origin)
         behind = self.replica.revision < pulled.revision
         if not behind and pulled.storeAgeMs != _AGE_UNKNOWN_MS:
             age_s = pulled.storeAgeMs / _MS_PER_S
@@ -369,7 +385,8 @@
         else:
             self._told_at = now
             self._failed_pulls = 0
-        is_behind = self._take(question.body, now)
+        origin = Origin(ChangeSource.TOLD, question.sender)
+        is_behind = self._take(question.body, now, origin)
         address = self.directory.address(question.sender)
         if address is not None and is_behind and not self._pulling:
             task = asyncio.create_task(self._pull(address))
--- a/teaselquay/fleet/_state.py
+++ b/teaselquay/fleet/_state.py
@@ -1,7 +1,8 @@
 """What the entries of the store mean, as far as they can be read."""
 
 from dataclasses import dataclass, field
-from typing import Callable, Iterable, Protocol
+from enum import Enum
+from typing import Callable, Iterable, NamedTuple, Protocol
 
 from teaselquay.configuration import (
     FleetConfiguration,
@@ -24,6 +25,25 @@
 #: of its end, says the platform; half a second is for the way.
 _LAPSE_HOLD_S = 2.5
 
+
+class ChangeSource(Enum):
+    """How changes came to this VM."""
+
+    READ = 'read'
+    TOLD = 'told'
+    PULLED = 'pulled'
+
+
+class Origin(NamedTuple):
+    """How changes came, and from which VM unless from the store."""
+
+    source: ChangeSource
+    sender: VmName | None = None
+
+
+FROM_STORE = Origin(ChangeSource.READ)
+
+
 Fact = FleetConfiguration | UpstreamRecord | VmRecord
 Listener = Callable[[], None]
 
@@ -84,6 +104,7 @@
         entries: Iterable[Entry],
         now: Instant,
         store_settled_s: float,
+        origin: Origin = FROM_STORE,
     ) -> None:
         """Take in changed entries.
 
@@ -94,7 +115,7 @@
         hold_s = _LAPSE_HOLD_S - store_settled_s
         for entry in entries:
             if entry.value:
-                self._put(entry)
+                self._put(entry, origin)
             elif hold_s > 0 and self._is_upstream(entry.key):
                 self._lapse(entry.key, Instant(now + hold_s))
             else:
@@ -109,7 +130,7 @@
         if due:
             self._index()
 
-    def _put(self, entry: Entry) -> None:
+    def _put(self, entry: Entry, origin: Origin) -> None:
         try:
             fact = self.decoder.decode(entry)
         except EntryError as error:
@@ -124,7 +145,7 @@
                 self._remove_upstream(name)
             return
         if isinstance(fact, FleetConfiguration):
-            self._put_configuration(fact, entry)
+            self._put_configuration(fact, entry, origin)
         elif isinstance(fact, UpstreamRecord):
             self._put_upstream(fact, entry)
         elif isinstance(fact, VmRecord):
@@ -134,6 +155,7 @@
         self,
         configuration: FleetConfiguration,
         entry: Entry,
+        origin: Origin,
     ) -> None:
         before = self.table.configuration.version if self.table else None
         self.table = RoutingTable.from_config(configuration)
@@ -144,6 +166,8 @@
             revision=entry.revision,
             routes=len(configuration.routes_by_name),
             teams=len(configuration.teams_by_name),
+            source=origin.source.value,
+            sender=origin.sender,
         )
 
     def _put_upstream(self, record: UpstreamRecord, entry: Entry) -> None:
--- a/teaselquay/gateway/_process.py
+++ b/teaselquay/gateway/_process.py
@@ -50,6 +50,8 @@
 #: Shortest time to stay after SIGTERM in seconds, for callers on the way.
 _LEAST_STAY_S = 2.2
 _POLL_S = 0.05
+#: A timer that fires so late is logged, in seconds: callers notice it.
+_LOOP_LATE_S = 0.1
 #: Idle time before a configuration says more, in seconds.
 _FIRST_IDLE_S = 15.0
 #: Idle time beyond what callers are told, so that the caller closes first.
@@ -102,6 +104,7 @@
         self._parts.metrics.registry.register(
             FleetCollector(self._member, self._link, clock),
         )
+        self._timers.on_fired(self._timer_fired)
         self._callers = serve_app(GatewayApp(self._parts), _FIRST_IDLE_S)
         self._was_ready = False
         self._member.state.subscribe(self._apply_limits)
@@ -187,6 +190,15 @@
         silent_s = self._parts.clock.now() - self._directory.last_contact
         return bool(self._directory.others()) and silent_s > _ISOLATED_S
 
+    def _timer_fired(self, name: str, late_s: float) -> None:
+        self._parts.metrics.loop_late_s.observe(max(0, late_s))
+        if late_s >= _LOOP_LATE_S:
+            self._journal.emit(
+                Event.LOOP_LATE,
+                timer=name,
+                late_s=round(late_s, 3),
+            )
+
     async def _follow_ready(self) -> None:
         self._update_ready()
 
--- a/teaselquay/shells/_peers.py
+++ b/teaselquay/shells/_peers.py
@@ -98,8 +98,11 @@
         addresses: Iterable[Address],
         kind: str,
         fields: Fields | None,
-    ) -> None:
-        """Send the same message to many, each of which may miss it."""
+    ) -> int:
+        """Send the same message to many, each of which may miss it.
+
+        Returns its length in bytes.
+        """
 
 
 class DatagramLink(asyncio.DatagramProtocol):
@@ -184,11 +187,12 @@
         addresses: Iterable[Address],
         kind: str,
         fields: Fields | None,
-    ) -> None:
+    ) -> int:
         """Send the same message to many, each of which may miss it."""
         datagram = self._encode(next(self._calls), Answer(kind, fields))
         for address in addresses:
             self._send_datagram(address, datagram)
+        return len(datagram)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
--- a/teaselquay/shells/_telemetry.py
+++ b/teaselquay/shells/_telemetry.py
@@ -96,6 +96,12 @@
             buckets=_LATENCIES_S,
             registry=self.registry,
         )
+        self.loop_late_s = Histogram(
+            'teaselquay_timer_late_seconds',
+            'How late timers fire, which is how long the loop was busy.',
+            buckets=_LATENCIES_S,
+            registry=self.registry,
+        )
 
     def count_answer(self, route: str, status: int, elapsed_s: float) -> None:
         """Count a request that was answered with `status`, 0 for none."""
--- a/teaselquay/shells/_timers.py
+++ b/teaselquay/shells/_timers.py
@@ -8,6 +8,8 @@
 from absl import logging
 
 Callback = Callable[[], Awaitable[None]]
+#: Takes the name of a timer and how late it fired, in seconds.
+LateListener = Callable[[str, float], None]
 
 _JITTER = 0.1
 
@@ -22,6 +24,11 @@
         """Start without subscribers."""
         self._random = random
         self._tasks: set[asyncio.Task[None]] = set()
+        self._late_listeners: list[LateListener] = []
+
+    def on_fired(self, listener: LateListener) -> None:
+        """Call `listener` whenever a timer fires."""
+        self._late_listeners.append(listener)
 
     def subscribe(self, name: str, period_s: float, call: Callback) -> None:
         """Call `call` about every `period_s` seconds, first at once."""
@@ -60,4 +67,12 @@
             except Exception:
                 logging.exception('timer: %s failed', name)
             spread = 1 + self._random.uniform(-_JITTER, _JITTER)
-            await asyncio.sleep(period_s * spread)
+            await self._sleep(name, period_s * spread)
+
+    async def _sleep(self, name: str, pause_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        due = loop.time() + pause_s
+        await asyncio.sleep(pause_s)
+        late_s = loop.time() - due
+        for listener in self._late_listeners:
+            listener(name, late_s)
--- a/tests/support/fake_network.py
+++ b/tests/support/fake_network.py
@@ -133,10 +133,11 @@
         addresses: Iterable[Address],
         kind: str,
         fields: Any,
-    ) -> None:
+    ) -> int:
         """Send the same message to many."""
         for address in addresses:
             self.tell(address, kind, fields)
+        return 0
 
     async def _tell(self, address: Address, kind: str, fields: Any) -> None:
         await self._depart(kind, fields)
