--- a/tests/support/fake_network.py
+++ b/tests/support/fake_network.py
@@ -30,6 +30,8 @@
         self.encodes = encodes
         #: What the link of one VM sends in a second, if that matters.
         self.bytes_per_s = float('inf')
+        #: What waits for that link at most; datagrams beyond it are lost.
+        self.queue_bytes = float('inf')
 
     def join(self, address: Address, link: 'FakeLink') -> None:
         """Deliver messages for `address` to `link`."""
@@ -140,14 +142,16 @@
         return 0
 
     async def _tell(self, address: Address, kind: str, fields: Any) -> None:
-        await self._depart(kind, fields)
+        if not await self._depart(kind, fields):
+            return
         peer = self.network.link_at(address)
         if peer is not None and self.network.carries(self.me, peer.me):
             question = Question(self.me, self.incarnation, _Fields(fields))
             peer.handlers[kind](question)
 
     async def _call(self, address: Address, kind: str, fields: Any) -> Any:
-        await self._depart(kind, fields)
+        if not await self._depart(kind, fields):
+            return await asyncio.Future()
         peer = self.network.link_at(address)
         if peer is None or not self.network.carries(self.me, peer.me):
             return await asyncio.Future()
@@ -156,19 +160,30 @@
         peer._count(kind, fields)
         question = Question(self.me, self.incarnation, _Fields(fields))
         answer: Answer = peer.handlers[kind](question)
-        await peer._depart(answer.kind, answer.fields)
+        if not await peer._depart(answer.kind, answer.fields):
+            return await asyncio.Future()
         if not self.network.carries(peer.me, self.me):
             return await asyncio.Future()
         self._count(answer.kind, answer.fields)
         return _Fields(answer.fields)
 
-    async def _depart(self, kind: str, fields: Any) -> None:
-        """Wait for what is before this message on the link, and the way."""
+    async def _depart(self, kind: str, fields: Any) -> bool:
+        """Wait for what is before this message on the link, and the way.
+
+        Returns whether the link's queue had room for it.
+        """
         now = asyncio.get_running_loop().time()
         octets = self._count(kind, fields)
         free_at = max(now, self._busy_until)
-        self._busy_until = free_at + octets / self.network.bytes_per_s
-        await asyncio.sleep(self._busy_until - now + self.network.latency_s())
+        network = self.network
+        if (
+            octets
+            and (free_at - now) * network.bytes_per_s > network.queue_bytes
+        ):
+            return False
+        self._busy_until = free_at + octets / network.bytes_per_s
+        await asyncio.sleep(self._busy_until - now + network.latency_s())
+        return True
 
     def _count(self, kind: str, fields: Any) -> int:
         """Count a message, and return its length if messages are encoded."""
--- a/tests/unit/test_replication.py
+++ b/tests/unit/test_replication.py
@@ -4,12 +4,14 @@
 from random import Random
 from typing import Awaitable, Callable
 
-from teaselquay.decisions import ServiceName, UpstreamName
+from teaselquay.decisions import ServiceName, UpstreamName, VmName
 from tests.support.replicas import RATE, ReplicaFleet, ReplicaVm
 from tests.support.virtual import run_virtual
 
 #: The users' bounds for a configuration and for a leaving upstream.
 IN_FORCE_S = 2.0
+#: The same where the users have grown.
+GROWN_IN_FORCE_S = 2.5
 SERVICE = ServiceName('s')
 UP = UpstreamName('one')
 
@@ -62,6 +64,52 @@
     _run(48, check)
 
 
+def _configuration(version: int, teams: int, routes: int) -> list[object]:
+    """Return a document of about 145 bytes for each team and route."""
+    random = Random(1)
+    places = [random.randbytes(56).hex() for _ in range(teams + routes)]
+    return [version, dict(enumerate(places)), random.randbytes(version).hex()]
+
+
+def _check_storm(teams: int, gap_s: float, seconds: float) -> None:
+    """Check that each VM has each of many changes in time.
+
+    Load pattern: changes in quick succession for 38 VMs a zone, whose links
+    carry 10 Mbit/s and hold 32 KiB.
+    """
+    late: list[tuple[int, VmName, int]] = []
+
+    async def look(fleet: ReplicaFleet, version: int) -> None:
+        await asyncio.sleep(GROWN_IN_FORCE_S)
+        late.extend(
+            (version, vm.name, vm.version)
+            for vm in fleet.vms
+            if vm.version < version
+        )
+
+    async def check(fleet: ReplicaFleet) -> None:
+        fleet.network.encodes = True
+        fleet.network.bytes_per_s = 1.25e6
+        fleet.network.queue_bytes = 32 * 1024
+        looks = []
+        for version in range(2, 2 + int(seconds / gap_s)):
+            fleet.store.put('config', _configuration(version, teams, 18))
+            looks.append(asyncio.create_task(look(fleet, version)))
+            await asyncio.sleep(gap_s)
+        await asyncio.gather(*looks)
+        assert not late
+
+    _run(114, check)
+
+
+def test_one_change_is_in_force_in_time_behind_narrow_links():
+    _check_storm(80, gap_s=1, seconds=1)
+
+
+def test_storm_of_changes_is_in_force_in_time_behind_narrow_links():
+    _check_storm(80, gap_s=0.1, seconds=4)
+
+
 def test_readers_are_asked_little_while_nothing_changes():
     async def check(fleet: ReplicaFleet) -> None:
         readers = [vm for vm in fleet.vms if vm.replication._is_reader()]
