Spread changes over a zone by VMs that pass them on, paced and newest only

A change that touches everything (rates of all teams, a first configuration after a gap) has no common part with the version before, so that it still met the full queue of the reader's link.

Cause, the class of the fault: one VM sends to all others at one moment, and those who missed it ask at one moment again; nothing bounds what a link is given. Now a reader tells about as many VMs as the root of the zone's number, each of which passes it on to as many; what takes long on a link is sent with pauses, at 4 Mbit/s; changes that come meanwhile go in one next round; who learns from the half-second notice that it missed something asks within a random 0.15 s.

test_changes_of_everything_are_in_force_in_time_behind_narrow_links failed before and passes; a third of the VMs being away costs the others at most one notice (test_change_reaches_vms_whose_relay_is_away).

--- a/teaselquay/fleet/_replication.py
+++ b/teaselquay/fleet/_replication.py
@@ -15,6 +15,7 @@
 from teaselquay.decisions import Delta, Entry, Instant, Replica, Revision
 from teaselquay.events import Event, Journal
 from teaselquay.fleet._directory import Directory
+from teaselquay.fleet._spreading import Spreader
 from teaselquay.fleet._state import (
     FROM_STORE,
     ChangeSource,
@@ -41,6 +42,9 @@
 _WATCH_S = 2.0
 _PULL_PERIOD_S = 0.5
 _PULL_TIMEOUT_S = 0.3
+#: VMs that learn at one moment that they missed a change ask for it within
+#: this time, in seconds, so that the answers do not meet on one link.
+_PULL_SPREAD_S = 0.15
 #: Pause after a call to the store that failed.
 _STORE_PAUSE_S = 0.5
 #: Pulls that fail in a row until a VM reads the store itself: peers and
@@ -89,6 +93,19 @@
     #: A patch came to a value that this VM does not have.
     _lacks_base: bool = False
     _tasks: set['asyncio.Task[Any]'] = field(default_factory=set)
+    _spreader: Spreader = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Make what tells the zone of changes."""
+        self._spreader = Spreader(
+            self.record,
+            self.link,
+            self.directory,
+            self.clock,
+            self.random,
+            self.journal,
+            lambda since: self._pulled_fields(since, with_patches=True),
+        )
 
     def start(self, timers: TimerService) -> None:
         """Answer peers, and subscribe to `timers`."""
@@ -119,7 +136,7 @@
         now = self.clock.now()
         self.state.remove_lapsed(now)
         if self._was_reader:
-            self._tell_zone(self.replica.revision)
+            self._spreader.tell_age(self.replica.revision)
         is_told = now - self._told_at < _TOLD_S and not self._was_reader
         if self._pulling or (is_told and self._is_own_zones_turn()):
             return
@@ -197,36 +214,7 @@
         self.directory.replace(self.state.vms_by_name.values(), now)
         is_read = origin.source is ChangeSource.READ
         if before and (is_read or self._was_reader):
-            self._tell_zone(before)
-
-    def _tell_zone(self, since: Revision) -> None:
-        """Tell this zone and the other zones' readers what came after.
-
-        Load pattern: each change concerns all VMs at the same moment. Did
-        they ask for it, the reader's link would carry their questions and
-        as many copies of its answer while the first of them wait.
-        """
-        now = self.clock.now()
-        readers = {
-            self.directory.reader_of(zone, now)
-            for zone in self.directory.zones()
-        }
-        addresses = [
-            Address.parse(record.peer)
-            for name, record in self.directory.records_by_name.items()
-            if name != self.record.name
-            and (record.zone == self.record.zone or name in readers)
-        ]
-        fields = self._pulled_fields(since, with_patches=True)
-        octets = self.link.tell_all(addresses, 'changed', fields)
-        if fields['entries']:
-            self.journal.emit(
-                Event.CHANGES_TOLD,
-                since=since,
-                upto=fields['upto'],
-                vms=len(addresses),
-                datagram_bytes=octets,
-            )
+            self._spreader.tell_changes(before)
 
     def _store_answered(self, instant: Instant) -> None:
         if self._settled_at == _NEVER or self._is_outage():
@@ -318,6 +306,11 @@
             self._pulling = False
         return True
 
+    async def _pull_after(self, pause_s: float, address: Address) -> None:
+        await asyncio.sleep(pause_s)
+        if not self._pulling:
+            await self._pull(address)
+
     def _suspect(self, address: Address) -> None:
         name = self.directory.name_of(address)
         if name is not None:
@@ -399,6 +392,8 @@
         """Take in what a reader tells, and pull what was missed."""
         now = self.clock.now()
         self.directory.heard(question.sender, now)
+        if question.body.relays:
+            self._spreader.pass_on(question.body)
         if question.body.isStoreLost:
             self.directory.store_lost(question.sender, now)
         else:
@@ -408,7 +403,10 @@
         is_behind = self._take(question.body, now, origin)
         address = self.directory.address(question.sender)
         if address is not None and is_behind and not self._pulling:
-            task = asyncio.create_task(self._pull(address))
+            pause_s = 0.0
+            if not question.body.entries:
+                pause_s = self.random.uniform(0, _PULL_SPREAD_S)
+            task = asyncio.create_task(self._pull_after(pause_s, address))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
--- a/teaselquay/shells/messages.capnp
+++ b/teaselquay/shells/messages.capnp
@@ -64,6 +64,8 @@
   storeSettledMs @8 :UInt32;
   # The sender could not read the store itself just now.
   isStoreLost @9 :Bool;
+  # VMs that the receiver passes this on to.
+  relays @10 :List(Text);
 }
 
 struct Need {
--- a/tests/support/fake_network.py
+++ b/tests/support/fake_network.py
@@ -142,7 +142,7 @@
         """Send the same message to many."""
         for address in addresses:
             self.tell(address, kind, fields)
-        return 0
+        return self._length(kind, fields)
 
     async def _tell(self, address: Address, kind: str, fields: Any) -> None:
         if not await self._depart(kind, fields):
@@ -191,8 +191,11 @@
     def _count(self, kind: str, fields: Any) -> int:
         """Count a message, and return its length if messages are encoded."""
         self.messages += 1
+        octets = self._length(kind, fields)
+        self.octets += octets
+        return octets
+
+    def _length(self, kind: str, fields: Any) -> int:
         if not self.network.encodes:
             return 0
-        datagram = _CODEC.encode(self.me, 1 << 50, 1 << 20, kind, fields)
-        self.octets += len(datagram)
-        return len(datagram)
+        return len(_CODEC.encode(self.me, 1 << 50, 1 << 20, kind, fields))
--- a/tests/unit/test_replication.py
+++ b/tests/unit/test_replication.py
@@ -114,6 +114,19 @@
     _check_changes([_places(random, 98) for _ in range(8)], gap_s=0.5)
 
 
+def test_change_reaches_vms_whose_relay_is_away():
+    async def check(fleet: ReplicaFleet) -> None:
+        dead = [vm for vm in fleet.vms if not vm.replication._is_reader()][:20]
+        for vm in dead:
+            fleet.kill(vm)
+        fleet.store.put('config', 2)
+        await asyncio.sleep(IN_FORCE_S / 2)
+        live = [vm for vm in fleet.vms if not vm.is_dead]
+        assert {vm.version for vm in live} == {2}
+
+    _run(48, check)
+
+
 def test_readers_are_asked_little_while_nothing_changes():
     async def check(fleet: ReplicaFleet) -> None:
         readers = [vm for vm in fleet.vms if vm.replication._is_reader()]
