Keep a reader that is heard in its place after one late answer

VMs then differ on who reads, two read or nobody does. A VM that was heard in the last 0.8 s stays its zone's reader; a reader sends a notice each half second, and one that leaves or has lost the store is still replaced at once.

--- a/teaselquay/fleet/_directory.py
+++ b/teaselquay/fleet/_directory.py
@@ -13,6 +13,9 @@
 #: How long a VM counts as heard from after its last message, in seconds:
 #: three beats.
 _HEARD_S = 1.5
+#: How long a reader that did not answer is still one after its last message,
+#: in seconds: it sends one each half second.
+_READER_HEARD_S = 0.8
 #: The same for one that became known just now, in seconds: a beat and some. In
 #: that time parts of a fleet that starts parted each grant whole rates.
 _FIRST_HEARD_S = 0.8
@@ -142,9 +145,12 @@
         return ranks
 
     def _can_read(self, vm: VmName, now: Instant) -> bool:
-        if now < self._store_lost_until.get(vm, _NEVER):
+        if vm in self._leaving or now < self._store_lost_until.get(vm, _NEVER):
             return False
-        return self.is_askable(vm, now)
+        # One late answer does not make a VM that is heard another's reader:
+        # VMs would differ on who reads, and some be told by nobody.
+        heard_s = now - self._heard.get(vm, _NEVER)
+        return heard_s <= _READER_HEARD_S or self.is_askable(vm, now)
 
     def zones(self) -> list[ZoneName]:
         """Return the zones of all VMs, in order."""
