Close answers of upstreams that do not end

Cause: only what was passed on was bounded. A head, and what stands between two parts of a body, may have 64 KiB now, and trailers are not kept. The held part of a failure is bounded as that of a success is, and the rest is passed on or dropped. A long answer that is still coming at the request's deadline is cut, logged as answer.cut, and does not look whole. The same cause elsewhere: documents of the store and of the VM list are read up to 16 MiB.

--- a/teaselquay/gateway/_app.py
+++ b/teaselquay/gateway/_app.py
@@ -1,5 +1,6 @@
 """Serves one request: checks, admission, dispatch and the answer."""
 
+import asyncio
 from dataclasses import replace
 from hashlib import blake2b
 
@@ -115,7 +116,15 @@
                 request=self._request_id,
                 after_s=self._elapsed_s(),
             )
-        except BrokenAnswerError:
+        except BrokenAnswerError as error:
+            self._parts.journal.emit(
+                Event.ANSWER_CUT,
+                request=self._request_id,
+                route=self._exchange.route_name,
+                service=self._service,
+                reason=str(error),
+                after_s=self._elapsed_s(),
+            )
             raise
         except Exception:
             logging.exception('gateway: a request met an internal error')
@@ -146,7 +155,7 @@
         errand = await self._errand(table, route, team, service)
         call, answer = await Dispatch(errand, parts).run()
         try:
-            await self._answer(answer)
+            await self._answer_in_time(answer, errand.deadline)
         finally:
             call.release()
         if self._elapsed_s() > route.target_latency_s:
@@ -256,6 +265,26 @@
             limit_s = min(limit_s, int(asked) / _MS_PER_S)
         return Instant(self._exchange.began + limit_s)
 
+    async def _answer_in_time(
+        self,
+        answer: CallResult,
+        deadline: Instant,
+    ) -> None:
+        """Send an answer; one that is still coming is cut at `deadline`.
+
+        Raises:
+            BrokenAnswerError: it did not end before, or broke off.
+        """
+        if answer.rest is None:
+            await self._answer(answer)
+            return
+        left_s = deadline - self._parts.clock.now()
+        try:
+            async with asyncio.timeout(max(0, left_s)):
+                await self._answer(answer)
+        except TimeoutError as error:
+            raise BrokenAnswerError('it did not end in time') from error
+
     async def _answer(self, answer: CallResult) -> None:
         assert answer.head is not None
         exchange = self._exchange
--- a/teaselquay/gateway/_call.py
+++ b/teaselquay/gateway/_call.py
@@ -262,16 +262,17 @@
         outcome = Outcome.SERVED
         if head.status >= _FIRST_SERVER_ERROR:
             outcome = Outcome.FAILED
+        reason = f'status {head.status}'
         parts = self.connection.read_body()
         held = 0
         async for part in parts:
             self._held.append(part)
             held += len(part)
-            if held > _MOST_HELD_BYTES and outcome is Outcome.SERVED:
+            if held > _MOST_HELD_BYTES:
                 body = b''.join(self._held)
-                return CallResult(outcome, True, '', head, body, parts)
+                return CallResult(outcome, True, reason, head, body, parts)
         body = b''.join(self._held)
-        return CallResult(outcome, True, f'status {head.status}', head, body)
+        return CallResult(outcome, True, reason, head, body)
 
 
 def _connection_fields(exchange: Exchange) -> set[bytes]:
--- a/teaselquay/gateway/_dispatch.py
+++ b/teaselquay/gateway/_dispatch.py
@@ -291,9 +291,10 @@
             self._unsent += 1
             self.parts.unreachable.add(upstream.name, self.parts.clock.now())
         if result.outcome is Outcome.FAILED:
-            self._last = (call, result)
             if not self._may_repeat(result):
                 return call, result
+            # What is still to come of a long answer is not waited for.
+            self._last = None if result.rest else (call, result)
         call.release()
         if not self._running and not self._may_repeat(result):
             raise RefusedError(unanswered(result, self._may_have_run))
--- a/teaselquay/shells/_http.py
+++ b/teaselquay/shells/_http.py
@@ -19,6 +19,12 @@
 Header = tuple[bytes, bytes]
 
 _HIGH_WATER_BYTES = 1 << 18
+#: Longest head of an answer, and most bytes between two parts of its body:
+#: some times what callers may send as a head.
+_MOST_HEAD_BYTES = 1 << 16
+#: Longest document of an outside system: some changes of a value of the
+#: longest size, a mebibyte, in base64.
+MOST_DOCUMENT_BYTES = 1 << 24
 _NO_BODY_STATUS = frozenset((204, 304))
 _FIRST_FINAL_STATUS = 200
 _SWITCHING = 101
@@ -73,6 +79,7 @@
         self._head: asyncio.Future[AnswerHead] | None = None
         self._chunks: deque[bytes] = deque()
         self._buffered = 0
+        self._since_body = 0
         self._arrived = asyncio.Event()
         self._writable = asyncio.Event()
         self._writable.set()
@@ -126,6 +133,7 @@
         self._head = asyncio.get_running_loop().create_future()
         self._chunks.clear()
         self._buffered = 0
+        self._since_body = 0
         self._complete = False
         self._keep_alive = False
         self._until_close = False
@@ -190,6 +198,22 @@
             except TimeoutError:
                 self._fail('nothing came for too long')
 
+    async def read_whole_body(self, most_bytes: int) -> bytes:
+        """Return the body.
+
+        Raises:
+            BrokenAnswerError: the body was cut, or has more than
+                `most_bytes`.
+        """
+        parts: list[bytes] = []
+        length = 0
+        async for part in self.read_body():
+            parts.append(part)
+            length += len(part)
+            if length > most_bytes:
+                self._fail(f'the body is too long, over {most_bytes} bytes')
+        return b''.join(parts)
+
     # Callbacks of asyncio.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -207,13 +231,16 @@
         if self._parser is None or self._complete:
             self._fail('octets came that belong to no request')
             return
+        self._since_body += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             if not self._is_head or not self._complete:
                 self._fail(f'the answer is malformed: {error}')
             return
-        if self._buffered > _HIGH_WATER_BYTES and self._transport:
+        if self._since_body > _MOST_HEAD_BYTES and not self._complete:
+            self._fail('a head, or what follows it, is too long')
+        elif self._buffered > _HIGH_WATER_BYTES and self._transport:
             self._transport.pause_reading()
 
     def eof_received(self) -> bool:
@@ -243,7 +270,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keep a header field."""
-        if self._is_extra():
+        if self._is_extra() or self._has_head():
             return
         self._headers.append((name.lower(), value))
 
@@ -268,6 +295,7 @@
         """Keep a part of the body."""
         if self._is_extra():
             return
+        self._since_body = 0
         self._chunks.append(body)
         self._buffered += len(body)
         self._arrived.set()
@@ -291,6 +319,10 @@
             self._keep_alive = False
         return self._complete
 
+    def _has_head(self) -> bool:
+        """Return whether the head is out, so that fields are trailers."""
+        return self._head is not None and self._head.done()
+
     def _finish(self) -> None:
         self._complete = True
         self._arrived.set()
--- a/teaselquay/shells/_store.py
+++ b/teaselquay/shells/_store.py
@@ -10,7 +10,11 @@
 from returns.result import Failure, Result, Success
 
 from teaselquay.decisions import Delta, Entry, Revision
-from teaselquay.shells._http import ExchangeError, HttpConnection
+from teaselquay.shells._http import (
+    MOST_DOCUMENT_BYTES,
+    ExchangeError,
+    HttpConnection,
+)
 from teaselquay.shells._peers import Address
 
 _ROOT = 'teaselquay/config/'
@@ -180,7 +184,7 @@
         connection.begin('POST')
         await connection.write(octets)
         head = await connection.read_head()
-        body = b''.join([chunk async for chunk in connection.read_body()])
+        body = await connection.read_whole_body(MOST_DOCUMENT_BYTES)
         if head.status != _OK:
             raise ValueError(f'status {head.status}')
         return json.loads(body)
--- a/teaselquay/shells/_vmlist.py
+++ b/teaselquay/shells/_vmlist.py
@@ -14,7 +14,11 @@
     VmName,
     ZoneName,
 )
-from teaselquay.shells._http import ExchangeError, HttpConnection
+from teaselquay.shells._http import (
+    MOST_DOCUMENT_BYTES,
+    ExchangeError,
+    HttpConnection,
+)
 from teaselquay.shells._node import Node
 from teaselquay.shells._peers import Address
 from teaselquay.shells._timers import TimerService
@@ -88,7 +92,7 @@
             request = f'GET {path} HTTP/1.1\r\nHost: vm-list\r\n\r\n'
             await connection.write(request.encode())
             head = await connection.read_head()
-            body = b''.join([part async for part in connection.read_body()])
+            body = await connection.read_whole_body(MOST_DOCUMENT_BYTES)
         finally:
             connection.close()
         if head.status != _OK:
