Claim no revision beyond what a replica is complete up to

After a read of all, entries of later pages may be newer than the revision of the first, up to which the replica is complete. A part of a delta that was cut after such an entry said that it was complete up to that entry; its receiver then took nothing of what came between, for good. A part claims the sender's own revision at most now.

test_part_of_a_delta_claims_no_revision_that_its_sender_is_not_sure_of failed before.

--- a/teaselquay/decisions/_replica.py
+++ b/teaselquay/decisions/_replica.py
@@ -114,7 +114,8 @@
         for entry in self._after(since):
             same_write = chosen and chosen[-1].revision == entry.revision
             if size >= most_bytes and not same_write:
-                upto = chosen[-1].revision
+                # Entries from later pages may be newer than what is complete.
+                upto = min(chosen[-1].revision, self.revision)
                 return Delta(since, upto, tuple(chosen), is_last=False)
             chosen.append(entry)
             size += len(entry.key) + len(entry.value)
--- a/tests/unit/test_deltas.py
+++ b/tests/unit/test_deltas.py
@@ -87,3 +87,22 @@
     ]
     # Four of half a mebibyte beside the one that is in force.
     assert kept == [4, 5, 6, 7, 8]
+
+
+def test_part_of_a_delta_claims_no_revision_that_its_sender_is_not_sure_of():
+    """Pages of the store are no snapshot: some are newer than the first."""
+    source = Replica()
+    pages = [
+        Entry(f'key-{revision}', bytes(600), Revision(revision))
+        for revision in (1, 2, 9, 10)
+    ]
+    # What was written from 3 to 8 is not known yet.
+    source.merge(Delta(Revision(0), Revision(2), pages))
+    behind = Replica()
+    behind.merge(source.changes_since(Revision(0), 1500))
+    assert behind.revision <= source.revision
+    missed = Entry('key-5', b'5', Revision(5))
+    source.merge(Delta(Revision(2), Revision(10), (missed,)))
+    while behind.revision < source.revision:
+        behind.merge(source.changes_since(behind.revision, 1500))
+    assert behind.get('key-5') == missed
