Keep the ports that tests hand to programs

Ports were found by binding port 0, which takes them from the range of outgoing connections, and let go before the program listened; whoever connected in between could get one. A VM of the soak that does not start is reported with its exit code and the last lines of its log.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -10,7 +10,8 @@
 from tabulate import tabulate
 
 from bench.load import Measured, OpenLoop
-from tests.support.fleet import Fleet, free_ports, request, running_fleet
+from tests.support.fleet import Fleet, request, running_fleet
+from tests.support.ports import free_ports
 from tests.support.fleet import wait_for
 
 _RATES = (108, 1080)
--- a/soak/_vms.py
+++ b/soak/_vms.py
@@ -11,11 +11,13 @@
 
 from soak._links import PeerLink, TcpLink
 from soak._records import Record, Span
-from tests.support.fleet import free_ports
+from tests.support.ports import free_ports
 
 _READY_POLL_S = 0.05
 _DOWN_S = 0.3
 _BYTES_PER_MB = 1 << 20
+#: Lines of the log that tell why a process did not start.
+_LAST_LINES = 5
 
 
 class SoakVm:
@@ -108,6 +110,12 @@
         writer.close()
         return b' 200 ' in line
 
+    def _why_not_started(self) -> str:
+        code = self._process.returncode if self._process else None
+        text = self._log.read_text() if self._log.exists() else ''
+        last = '\n'.join(text.splitlines()[-_LAST_LINES:])
+        return f'{self.name} did not start, exit code {code}:\n{last}'
+
     async def wait_until_ready(self) -> None:
         """Wait for the VM to take callers.
 
@@ -116,7 +124,7 @@
         """
         while not await self.is_ready():
             if self._process is None or self._process.returncode is not None:
-                raise ProcessLookupError(f'{self.name} did not start')
+                raise ProcessLookupError(self._why_not_started())
             await asyncio.sleep(_READY_POLL_S)
 
     def send(self, number: signal.Signals) -> None:
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -12,7 +12,7 @@
 
 from tests.platform.test_decoding import CONFIGURATION, UPSTREAM
 from tests.standins.platform_store import PlatformStoreStandIn
-from tests.support.fleet import free_ports
+from tests.support.ports import free_ports
 from tests.support.gateway import (
     Received,
     ScriptedUpstream,
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -4,7 +4,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -15,6 +14,7 @@
 from pathlib import Path
 from typing import Any, Iterator
 
+from tests.support.ports import free_ports
 from tests.support.relay import UdpRelay
 
 TOKEN = 'operator-token'
@@ -23,17 +23,6 @@
 _START_S = 20.0
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that nothing listens on."""
-    held = [socket.socket() for _ in range(count)]
-    for each in held:
-        each.bind(('127.0.0.1', 0))
-    ports = [each.getsockname()[1] for each in held]
-    for each in held:
-        each.close()
-    return ports
-
-
 @dataclass
 class Reply:
     """One answer of a simple HTTP client."""
