Retain removed upstreams after an outage of the store only, not of one reader

Cause: a VM that could not read the store took this for an outage of the store, in which entries expire that come back, and told its whole zone so. VMs that received a removal from it went on using the upstream for 2.5 s, and up to half a second more until the next look. Change: an outage is a span in which the store answered no VM. VMs exchange the span over which it is known to have answered without one, and join the spans that overlap. An upstream that a VM retained is removed as soon as it learns that there was no outage. Not covered: a VM that is cut off from all others and from the store cannot tell the two apart until it hears from a peer.

--- a/teaselquay/fleet/_replication.py
+++ b/teaselquay/fleet/_replication.py
@@ -23,6 +23,7 @@
 )
 from teaselquay.events import Event, Journal
 from teaselquay.fleet._directory import Directory
+from teaselquay.fleet._evidence import StoreEvidence
 from teaselquay.fleet._spreading import ChangeBroadcaster
 from teaselquay.fleet._state import (
     FROM_STORE,
@@ -58,9 +59,6 @@
 #: Consecutive failed pulls after which a VM reads the store itself: its peers
 #: may be unreachable while the store is not.
 _MAX_FAILED_PULLS = 2
-#: Upstream entries expire after three missed heartbeats, 4.5 s. An outage of
-#: the store shorter than a third of that time does not expire any.
-_MIN_OUTAGE_S = 1.5
 #: Maximum bytes of entries in one datagram, below the limit of UDP.
 _MAX_DELTA_BYTES = 40_000
 #: Time in seconds after a push in which a VM need not pull. It allows for one
@@ -89,9 +87,8 @@
     replica: Replica = field(default_factory=Replica)
     #: Latest time at which the replica is known to have been current.
     fresh_at: Instant = _NEVER
-    _stable_since: Instant = _NEVER
+    _evidence: StoreEvidence = field(default_factory=StoreEvidence)
     _is_store_lost: bool = False
-    _store_lost_at: Instant = _NEVER
     _was_reader: bool = False
     _is_registered: bool = False
     _pull_round: int = 0
@@ -143,7 +140,7 @@
         """
         self._pull_round += 1
         now = self.clock.now()
-        self.state.remove_expired(now)
+        self.state.remove_expired(now, self._stable_s())
         if self._was_reader and self._is_zone_reader():
             self._broadcaster.broadcast_freshness(self.replica.revision)
         pushed = now - self._pushed_at < _PUSH_TTL_S and not self._was_reader
@@ -181,7 +178,7 @@
             # arrived; taking half of the wait allows for a slow response.
             current_at = Instant(started_at + min(wait_s, waited_s) / 2)
             self._store_answered(current_at)
-            self._merge(read.unwrap(), self._stable_s(), FROM_STORE)
+            self._merge(read.unwrap(), FROM_STORE)
             return True
         error = read.failure()
         if isinstance(error, HistoryLost):
@@ -198,7 +195,7 @@
             return False
         self._store_answered(started_at)
         whole = self._with_removals(read.unwrap())
-        self._merge(whole, self._stable_s(), FROM_STORE)
+        self._merge(whole, FROM_STORE)
         return True
 
     def _with_removals(self, whole: Delta) -> Delta:
@@ -212,24 +209,20 @@
         entries = (*whole.entries, *removed)
         return Delta(Revision(0), whole.upto, entries)
 
-    def _merge(self, delta: Delta, stable_s: float, origin: Origin) -> None:
-        """Merge `delta` into the replica, and apply what changed.
-
-        `stable_s` is the time since the last store outage in seconds.
-        """
+    def _merge(self, delta: Delta, origin: Origin) -> None:
+        """Merge `delta` into the replica, and apply what changed."""
         before = self.replica.revision
         changed = self.replica.merge(delta)
         if not changed and before:
             return
         now = self.clock.now()
-        self.state.apply(changed, now, stable_s, origin)
+        self.state.apply(changed, now, self._stable_s(), origin)
         self.directory.replace_records(self.state.vms_by_name.values(), now)
         if before and self._is_zone_reader():
             self._broadcaster.broadcast_changes(before)
 
     def _store_answered(self, current_at: Instant) -> None:
-        if self._stable_since == _NEVER or self._is_outage():
-            self._stable_since = self.clock.now()
+        self._evidence.add_answer(self.clock.now())
         if self._is_store_lost:
             self._is_store_lost = False
             self.journal.emit(
@@ -239,22 +232,14 @@
         self.fresh_at = max(self.fresh_at, current_at)
         self.directory.last_contact = self.clock.now()
 
-    def _is_outage(self) -> bool:
-        """Return whether a store outage may have expired upstream entries."""
-        lost_s = self.clock.now() - self._store_lost_at
-        return self._is_store_lost and lost_s >= _MIN_OUTAGE_S
-
     def _stable_s(self) -> float:
-        """Return the seconds since the end of the last outage, 0 during one."""
-        if self._is_outage():
-            return 0
-        return self.clock.now() - self._stable_since
+        """Return the seconds since the end of the store's last outage."""
+        return self._evidence.stable_s(self.clock.now())
 
     def _store_failed(self, reason: str) -> None:
         self.directory.record_store_failure(self.record.name, self.clock.now())
         if not self._is_store_lost:
             self._is_store_lost = True
-            self._store_lost_at = self.clock.now()
             self.journal.emit(
                 Event.STORE_LOST,
                 reason=reason,
@@ -363,25 +348,29 @@
         origin: Origin,
     ) -> bool:
         """Apply an update from a peer; return whether more is outstanding."""
-        stable_s = update.storeSettledMs / _MS_PER_S
-        if self._was_reader:
-            # Either VM may have lost its connection to the store.
-            stable_s = min(stable_s, self._stable_s())
-        else:
-            self._stable_since = Instant(self.clock.now() - stable_s)
+        self._add_peer_evidence(update, as_of)
         try:
             delta = parse_delta(update, self.replica)
         except MissingBaseError:
             # The next pull requests whole values.
             self._needs_whole_values = True
             return True
-        self._merge(delta, stable_s, origin)
+        self._merge(delta, origin)
         is_behind = self.replica.revision < update.revision
         if not is_behind and update.storeAgeMs != _AGE_UNKNOWN_MS:
             age_s = update.storeAgeMs / _MS_PER_S
             self.fresh_at = max(self.fresh_at, Instant(as_of - age_s))
         return is_behind
 
+    def _add_peer_evidence(self, update: Any, as_of: Instant) -> None:
+        """Add the span of time in which the store answered the peer."""
+        if update.storeAgeMs == _AGE_UNKNOWN_MS:
+            return
+        end = Instant(as_of - update.storeAgeMs / _MS_PER_S)
+        begin = Instant(as_of - update.storeSettledMs / _MS_PER_S)
+        self._evidence.add_span(min(begin, end), end)
+        self.state.remove_expired(self.clock.now(), self._stable_s())
+
     def _record_store_access(self, sender: VmName, update: Any) -> None:
         """Record whether `sender` of `update` can read the store."""
         if update.isStoreLost:
--- a/teaselquay/fleet/_state.py
+++ b/teaselquay/fleet/_state.py
@@ -125,10 +125,17 @@
                 self._remove(entry.key)
         self._index()
 
-    def remove_expired(self, now: Instant) -> None:
-        """Remove upstreams whose grace period after an outage has ended."""
+    def remove_expired(self, now: Instant, store_stable_s: float) -> None:
+        """Remove upstreams whose grace period after an outage has ended.
+
+        That is the case for all if the store, as became known since, has
+        answered for `store_stable_s` seconds.
+        """
+        is_stable = store_stable_s >= _RESTORE_GRACE_S
         due = [
-            name for name, until in self._retained_until.items() if now >= until
+            name
+            for name, until in self._retained_until.items()
+            if is_stable or now >= until
         ]
         for name in due:
             self._remove_upstream(name)
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -148,7 +148,8 @@
                 async with asyncio.timeout(wait_s):
                     await self.shared.changed.wait()
             except TimeoutError:
-                pass
+                if not self._is_reachable():
+                    return Failure(StoreUnavailable('timeout'))
         found = [item for item in self.shared.log if item.revision > since]
         upto = Revision(max(since, self.shared.revision))
         return Success(Delta(since, upto, tuple(found)))
@@ -165,6 +166,9 @@
     async def _reach(self) -> bool:
         self.shared.calls += 1
         await asyncio.sleep(0.004)
+        return self._is_reachable()
+
+    def _is_reachable(self) -> bool:
         return not self.shared.is_down and self.vm not in self.shared.away
 
 
--- a/tests/unit/test_replication.py
+++ b/tests/unit/test_replication.py
@@ -518,3 +518,39 @@
         assert admitted <= (RATE * seconds + RATE) * 1.1 + 20
 
     _run(24, check)
+
+
+def test_upstream_that_left_is_unusable_though_its_reader_was_cut_off():
+    """Load pattern: a reader returns after 12 s; upstreams leave meanwhile.
+
+    Other VMs have read the store all the while, so no entry has expired.
+    """
+    names = [UpstreamName(f'up-{number}') for number in range(16)]
+    late: list[tuple[VmName, UpstreamName]] = []
+
+    async def leave(fleet: ReplicaFleet, name: UpstreamName) -> None:
+        fleet.store.put(f'up/{name}', None)
+        await asyncio.sleep(IN_FORCE_S)
+        late.extend(
+            (vm.name, name) for vm in fleet.vms if vm.state.is_usable(name)
+        )
+
+    async def check(fleet: ReplicaFleet) -> None:
+        for name in names:
+            fleet.store.put(f'up/{name}', 'ready')
+        await asyncio.sleep(1)
+        cut_off = [vm for vm in fleet.vms if vm.replication._is_reader()][:2]
+        for vm in cut_off:
+            fleet.isolate(vm)
+            fleet.store.away.add(vm.name)
+        await asyncio.sleep(12)
+        fleet.network.cuts.clear()
+        fleet.store.away.clear()
+        leaving = []
+        for name in names:
+            await asyncio.sleep(0.25)
+            leaving.append(asyncio.create_task(leave(fleet, name)))
+        await asyncio.gather(*leaving)
+        assert not late
+
+    _run(24, check)
