Replace a silent store reader until it is heard again

Cause: the suspicion of a VM that did not answer ends after 1 s. It was then taken for the reader of its zone again: its successor stopped reading and pushing until another pull timed out, and other VMs pulled from it first. Class: a failure detector that takes the end of a timeout for a sign of life. Change: a VM that did not answer is no reader until a message from it arrives, or until it counts as removed after 20 s. Calls to coordinators are as before, since a call shows whether they answer. Proof: test_silent_reader_stays_replaced_until_it_is_heard failed before.

--- a/teaselquay/fleet/_directory.py
+++ b/teaselquay/fleet/_directory.py
@@ -50,6 +50,8 @@
     seeds: tuple[Address, ...] = ()
     _contacted_at: dict[VmName, Instant] = field(default_factory=dict)
     _suspect_until: dict[VmName, Instant] = field(default_factory=dict)
+    #: Time of the first timeout of a VM from which nothing came since.
+    _silent_since: dict[VmName, Instant] = field(default_factory=dict)
     _first_seen: dict[VmName, Instant] = field(default_factory=dict)
     _store_lost_until: dict[VmName, Instant] = field(default_factory=dict)
     _leaving: set[VmName] = field(default_factory=set)
@@ -99,6 +101,7 @@
         """Record that a message from `vm` arrived."""
         self._contacted_at[vm] = now
         self.last_contact = now
+        self._silent_since.pop(vm, None)
         if self._suspect_until.pop(vm, None) is not None:
             self.journal.emit(Event.PEER_REGAINED, peer=vm)
 
@@ -117,6 +120,7 @@
                 ),
             )
         self._suspect_until[vm] = Instant(now + _SUSPICION_S)
+        self._silent_since.setdefault(vm, now)
 
     def record_serving(self, vm: VmName, is_serving: bool) -> None:
         """Record whether `vm` has announced that it is serving or leaving."""
@@ -179,7 +183,14 @@
         # A single timeout must not depose a reader that still sends messages:
         # VMs would disagree on the reader, and some would get no updates.
         silent_s = now - self._contacted_at.get(vm, _NEVER)
-        return silent_s <= _READER_TIMEOUT_S or self.is_available(vm, now)
+        if silent_s <= _READER_TIMEOUT_S:
+            return True
+        # Without a message, the end of the suspicion is no sign of life. Its
+        # successor would stop to read, and nobody would.
+        silent_since = self._silent_since.get(vm)
+        if silent_since is None:
+            return True
+        return now - silent_since > _REMOVAL_TIMEOUT_S
 
     def zones(self) -> list[ZoneName]:
         """Return the zones of all VMs in sorted order."""
--- a/tests/unit/test_directory.py
+++ b/tests/unit/test_directory.py
@@ -39,3 +39,16 @@
     directory.record_contact(reader, Instant(10))
     directory.record_serving(reader, is_serving=False)
     assert directory.store_reader(ZONE, Instant(10)) != reader
+
+
+def test_silent_reader_stays_replaced_until_it_is_heard():
+    directory = _directory()
+    reader = directory.store_reader(ZONE, Instant(10))
+    assert reader is not None
+    directory.record_timeout(reader, 'pull', Instant(10))
+    # It is asked again as a coordinator, which shows whether it answers.
+    assert directory.is_available(reader, Instant(11.5))
+    for now in (11.5, 15.0, 25.0):
+        assert directory.store_reader(ZONE, Instant(now)) != reader
+    directory.record_contact(reader, Instant(25.0))
+    assert directory.store_reader(ZONE, Instant(25.0)) == reader
