Ask another VM while the one that was asked is silent, behind or refused

Cause: any message was taken for news. A push that left its receiver behind counted as one that made pulls needless; what it missed was not pulled while another pull waited 0.3 s for a VM that was gone; and a pull ended with the first VM that answered, though the store refused that one. Class: a sign that a peer lives is taken for evidence that its data is current. Change: a push counts only if it leaves nothing outstanding; what it lacks is pulled at once from its sender; the second source is asked after 50 ms of silence, or when the first says that it cannot read the store. Proof: test_changes_are_in_force_in_time_while_readers_are_cut_off, bound 2.0 s, VMs in touch only.

--- a/teaselquay/fleet/_replication.py
+++ b/teaselquay/fleet/_replication.py
@@ -7,8 +7,9 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from enum import Enum
 from random import Random
-from typing import Any
+from typing import Any, Coroutine, Iterable, TypeVar
 
 from returns.result import Failure, Success
 
@@ -51,6 +52,9 @@
 _WATCH_TIMEOUT_S = 2.0
 _PULL_PERIOD_S = 0.5
 _PULL_TIMEOUT_S = 0.3
+#: Time in seconds after which the next source is asked too: many round trips
+#: between zones.
+_PULL_HEDGE_S = 0.05
 #: Maximum random delay in seconds before pulling a missed change, so that the
 #: answers to VMs that detect it simultaneously do not congest one link.
 _MAX_PULL_DELAY_S = 0.15
@@ -70,6 +74,17 @@
 _MS_PER_S = 1000
 _AGE_UNKNOWN_MS = (1 << 32) - 1
 _NEVER = Instant(float('-inf'))
+_Result = TypeVar('_Result')
+
+
+class PullResult(Enum):
+    """What came of pulling from one or several peers."""
+
+    #: A peer that can read the store answered.
+    CURRENT = 'current'
+    #: Only peers that cannot read the store answered.
+    STALE = 'stale'
+    UNANSWERED = 'unanswered'
 
 
 @dataclass(slots=True)
@@ -92,7 +107,7 @@
     _was_reader: bool = False
     _is_registered: bool = False
     _pull_round: int = 0
-    _is_pulling: bool = False
+    _is_catching_up: bool = False
     _failed_pulls: int = 0
     _pushed_at: Instant = _NEVER
     #: A patch was received for a base value that the replica lacks.
@@ -144,13 +159,14 @@
         if self._was_reader and self._is_zone_reader():
             self._broadcaster.broadcast_freshness(self.replica.revision)
         pushed = now - self._pushed_at < _PUSH_TTL_S and not self._was_reader
-        if self._is_pulling or (pushed and self._is_local_pull_round()):
+        if pushed and self._is_local_pull_round():
             return
-        for source in self._pull_sources():
-            if await self._pull(source):
-                self._failed_pulls = 0
-                return
-            self._failed_pulls += 1
+        sources = self._pull_sources()
+        result = await self._pull_from_any(sources)
+        if result is not PullResult.UNANSWERED:
+            self._failed_pulls = 0
+            return
+        self._failed_pulls += len(sources)
         is_alone = self._failed_pulls >= _MAX_FAILED_PULLS
         if is_alone and self._is_registered and not self._was_reader:
             # The VM then watches the store itself until peers answer.
@@ -297,31 +313,70 @@
     def _is_local_pull_round(self) -> bool:
         return bool(self._pull_round % _PULLS_PER_REMOTE_PULL)
 
-    async def _pull(self, address: Address) -> bool:
-        """Pull until up to date; return whether the peer answered."""
-        self._is_pulling = True
+    async def _pull_from_any(self, sources: list[Address]) -> PullResult:
+        """Pull from `sources` until one is current; return the best result.
+
+        Load pattern: readers are gone, or the store refuses them. A source
+        that does not answer at once delays the next one by a hedging delay,
+        not by its timeout.
+        """
+        best = PullResult.UNANSWERED
+        pending: set[asyncio.Task[PullResult]] = set()
+        for source in sources:
+            pending.add(self._spawn(self._pull(source)))
+            done, pending = await asyncio.wait(
+                pending,
+                timeout=_PULL_HEDGE_S,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            best = _best_result(best, done)
+            if best is PullResult.CURRENT:
+                return best
+        while pending and best is not PullResult.CURRENT:
+            done, pending = await asyncio.wait(
+                pending, return_when=asyncio.FIRST_COMPLETED
+            )
+            best = _best_result(best, done)
+        return best
+
+    async def _pull(self, address: Address) -> PullResult:
+        """Pull until up to date with the peer at `address`."""
         try:
             is_behind = True
             while is_behind:
-                is_behind = await self._pull_batch(address)
+                is_behind, is_store_lost = await self._pull_batch(address)
         except PeerTimeoutError:
             self._suspect(address)
-            return False
-        finally:
-            self._is_pulling = False
-        return True
+            return PullResult.UNANSWERED
+        return PullResult.STALE if is_store_lost else PullResult.CURRENT
 
-    async def _pull_after(self, pause_s: float, address: Address) -> None:
-        await asyncio.sleep(pause_s)
-        if not self._is_pulling:
+    async def _catch_up(self, pause_s: float, address: Address) -> None:
+        """Pull what was missed from the peer at `address`, after a pause."""
+        try:
+            await asyncio.sleep(pause_s)
             await self._pull(address)
+        finally:
+            self._is_catching_up = False
+
+    def _spawn(
+        self, work: Coroutine[Any, Any, _Result]
+    ) -> 'asyncio.Task[_Result]':
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
 
     def _suspect(self, address: Address) -> None:
         name = self.directory.name_of(address)
         if name is not None:
             self.directory.record_timeout(name, 'pull', self.clock.now())
 
-    async def _pull_batch(self, address: Address) -> bool:
+    async def _pull_batch(self, address: Address) -> tuple[bool, bool]:
+        """Pull once.
+
+        Return whether more is outstanding, and whether the peer cannot read
+        the store.
+        """
         sent_at = self.clock.now()
         fields = {
             'revision': self.replica.revision,
@@ -338,8 +393,8 @@
         if is_behind and not pulled.entries:
             # The next entry does not fit into a datagram.
             await self._read_changes(0)
-            return False
-        return is_behind
+            is_behind = False
+        return is_behind, pulled.isStoreLost
 
     def _apply_update(
         self,
@@ -415,21 +470,32 @@
         self.directory.record_contact(question.sender, now)
         if question.body.relays:
             self._broadcaster.relay(question.body)
-        if not question.body.isStoreLost:
-            self._pushed_at = now
-            self._failed_pulls = 0
         if not question.body.isRelayed:
             self._record_store_access(question.sender, question.body)
         origin = Origin(ChangeSource.PUSHED, question.sender)
         is_behind = self._apply_update(question.body, now, origin)
+        if not is_behind:
+            if not question.body.isStoreLost:
+                self._pushed_at = now
+                self._failed_pulls = 0
+            return
         address = self.directory.address(question.sender)
-        if address is not None and is_behind and not self._is_pulling:
+        if address is not None and not self._is_catching_up:
+            self._is_catching_up = True
             pause_s = 0.0
             if not question.body.entries:
                 pause_s = self.random.uniform(0, _MAX_PULL_DELAY_S)
-            task = asyncio.create_task(self._pull_after(pause_s, address))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._spawn(self._catch_up(pause_s, address))
+
+
+def _best_result(
+    best: PullResult,
+    done: 'Iterable[asyncio.Task[PullResult]]',
+) -> PullResult:
+    """Return the best of `best` and the results of the `done` tasks."""
+    candidates = {best, *(task.result() for task in done)}
+    # The members are defined in descending order.
+    return next(member for member in PullResult if member in candidates)
 
 
 def _to_ms(age_s: float) -> int:
--- a/tests/unit/test_replication.py
+++ b/tests/unit/test_replication.py
@@ -5,6 +5,8 @@
 from random import Random
 from typing import Awaitable, Callable
 
+import pytest
+
 from teaselquay.coordination import (
     Placement,
     PlacementRequest,
@@ -23,15 +25,21 @@
 #: Time in seconds within which the users require a configuration to be in
 #: force and a removed upstream to be unused.
 IN_FORCE_S = 2.0
+#: Time in seconds after a fault from which on that is required of a VM.
+STABLE_WINDOW_S = 3.0
 #: The same for the size to which the users have grown.
 GROWN_IN_FORCE_S = 2.5
 SERVICE = ServiceName('s')
 UP = UpstreamName('one')
 
 
-def _run(count: int, check: Callable[[ReplicaFleet], Awaitable[None]]) -> None:
+def _run(
+    count: int,
+    check: Callable[[ReplicaFleet], Awaitable[None]],
+    seed: int = 1,
+) -> None:
     async def main() -> None:
-        fleet = ReplicaFleet(count)
+        fleet = ReplicaFleet(count, seed)
         fleet.store.put('config', 1)
         fleet.store.put('up/one', 'ready')
         await asyncio.sleep(5)
@@ -554,3 +562,53 @@
         assert not late
 
     _run(24, check)
+
+
+@pytest.mark.parametrize('loses_store', [False, True])
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_changes_are_in_force_in_time_while_readers_are_cut_off(
+    seed: int,
+    loses_store: bool,
+) -> None:
+    """Load pattern: two readers of three, and a third of all VMs, are cut off.
+
+    They return after 12 s.
+    """
+    late: list[tuple[float, VmName, int, int]] = []
+    #: VMs of which no change is required in time yet.
+    excused: set[VmName] = set()
+
+    async def collect_late(fleet: ReplicaFleet, version: int) -> None:
+        now_s = asyncio.get_running_loop().time()
+        required = [vm for vm in fleet.vms if vm.name not in excused]
+        await asyncio.sleep(IN_FORCE_S)
+        late.extend(
+            (now_s, vm.name, vm.version, version)
+            for vm in required
+            if vm.version < version
+        )
+
+    async def check(fleet: ReplicaFleet) -> None:
+        random = Random(seed)
+        readers = [vm for vm in fleet.vms if vm.replication._is_reader()]
+        cut_off = {vm.name: vm for vm in readers[:2]}
+        cut_off |= {vm.name: vm for vm in random.sample(fleet.vms, 16)}
+        excused.update(cut_off)
+        for vm in cut_off.values():
+            fleet.isolate(vm)
+        if loses_store:
+            fleet.store.away = set(cut_off)
+        checks = []
+        for version in range(2, 32):
+            if version == 20:
+                fleet.network.cuts.clear()
+                fleet.store.away = set()
+                loop = asyncio.get_running_loop()
+                loop.call_later(STABLE_WINDOW_S, excused.clear)
+            fleet.store.put('config', version)
+            checks.append(asyncio.create_task(collect_late(fleet, version)))
+            await asyncio.sleep(random.uniform(0.3, 1.0))
+        await asyncio.gather(*checks)
+        assert not late
+
+    _run(48, check, seed)
