Send nothing to an upstream that left while the connection was opened

Cause: whether an upstream accepts requests was asked when it was placed only. Change: it is asked again right before the head is sent. Such an attempt counts as unsent, and the next upstream is asked for. Proof: test_request_is_not_sent_to_an_upstream_that_left_while_connecting failed before: the leaving upstream got the request.

--- a/teaselquay/coordination/_placement.py
+++ b/teaselquay/coordination/_placement.py
@@ -28,7 +28,8 @@
     MISDIRECTED = 'misdirected'
     #: No connection could be established.
     UNREACHABLE = 'unreachable'
-    #: The caller disconnected, or another attempt was answered first.
+    #: The caller disconnected, another attempt was answered first, or the
+    #: upstream left before the request was sent.
     CANCELLED = 'cancelled'
     #: The request was refused before an upstream was chosen.
     REFUSED = 'refused'
--- a/teaselquay/gateway/_call.py
+++ b/teaselquay/gateway/_call.py
@@ -2,11 +2,11 @@
 
 import asyncio
 from dataclasses import dataclass, field
-from typing import AsyncIterator
+from typing import AsyncIterator, Callable
 
 from teaselquay.configuration import UpstreamRecord
 from teaselquay.coordination import Outcome
-from teaselquay.decisions import Instant
+from teaselquay.decisions import Instant, UpstreamName
 from teaselquay.gateway._body import RequestBody
 from teaselquay.gateway._dialect import HeaderNames
 from teaselquay.pipeline import (
@@ -73,6 +73,8 @@
     header_names: HeaderNames
     pool: ConnectionPool
     clock: Clock
+    #: Returns whether an upstream accepts new requests.
+    is_usable: Callable[[UpstreamName], bool]
     connection: HttpConnection | None = None
     is_reused: bool = False
     #: How long a reused connection had been idle, in seconds.
@@ -93,6 +95,11 @@
             self.connection = await self._connect()
         except ConnectError as error:
             return CallResult(Outcome.UNREACHABLE, False, str(error))
+        if not self.is_usable(self.target.upstream.name):
+            # It left while the connection was opened.
+            self.connection.close()
+            reason = 'the upstream left before the request was sent'
+            return CallResult(Outcome.CANCELLED, False, reason)
         try:
             return await self._send_and_read_answer()
         except BrokenAnswerError as error:
--- a/teaselquay/gateway/_dispatch.py
+++ b/teaselquay/gateway/_dispatch.py
@@ -35,9 +35,12 @@
 #: Idempotent requests may use a pooled connection that was idle this many
 #: times as long as the limit for other requests, since they can be retried.
 _IDEMPOTENT_IDLE_FACTOR = 1.6
-#: Attempts of one request that may fail to connect, because an address is
-#: unreachable or stale. They do not count towards the maximum of the route.
+#: Attempts of one request that may end unsent, because an address is
+#: unreachable or stale, or its upstream left. They do not count towards the
+#: maximum of the route.
 _MAX_UNSENT_ATTEMPTS = 4
+#: Outcomes of attempts that ended before anything was sent.
+_UNSENT_OUTCOMES = frozenset((Outcome.UNREACHABLE, Outcome.CANCELLED))
 _ANSWERED_OUTCOMES = frozenset((Outcome.SERVED, Outcome.FAILED, Outcome.SHED))
 
 
@@ -256,6 +259,7 @@
             self.parts.header_names,
             self.parts.pool,
             self.parts.clock,
+            self.parts.state.is_usable,
             began=self.parts.clock.now(),
         )
         self._tried.add(upstream.name)
@@ -372,9 +376,10 @@
             **_placement_fields(attempt.placement),
         )
         self._may_have_run = self._may_have_run or result.may_have_run
-        if result.outcome is Outcome.UNREACHABLE:
+        if result.outcome in _UNSENT_OUTCOMES:
             self._sent_count -= 1
             self._unsent_count += 1
+        if result.outcome is Outcome.UNREACHABLE:
             self.parts.unreachable.add(upstream.name, self.parts.clock.now())
         if result.outcome is Outcome.FAILED:
             if not self._may_retry(result):
--- a/teaselquay/gateway/_refusals.py
+++ b/teaselquay/gateway/_refusals.py
@@ -5,7 +5,12 @@
 from teaselquay.gateway._call import CallResult
 
 _DECLINED_OUTCOMES = frozenset(
-    (Outcome.SHED, Outcome.MISDIRECTED, Outcome.UNREACHABLE)
+    (
+        Outcome.SHED,
+        Outcome.MISDIRECTED,
+        Outcome.UNREACHABLE,
+        Outcome.CANCELLED,
+    )
 )
 _KINDS_BY_REASON = {
     RefusalReason.NO_UPSTREAM: ProblemKind.NO_UPSTREAM,
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -6,6 +6,7 @@
 import pytest
 
 from teaselquay.configuration import RouteKind
+from teaselquay.shells import Address, HttpConnection
 from tests.support.gateway import (
     KEY,
     SERVICE,
@@ -145,6 +146,36 @@
     run_with(config, [replies()], check)
 
 
+def test_request_is_not_sent_to_an_upstream_that_left_while_connecting(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The upstream leaves between the placement and the first byte."""
+    open_connection = HttpConnection.open
+
+    async def check(gateway: Gateway, upstreams: Upstreams) -> None:
+        leaving, staying = (up.port for up in upstreams)
+
+        async def open_slowly(
+            address: Address, timeout_s: float
+        ) -> HttpConnection:
+            connection = await open_connection(address, timeout_s)
+            gateway.use(record('up-1', staying))
+            return connection
+
+        monkeypatch.setattr(HttpConnection, 'open', open_slowly)
+        for number in range(4):
+            gateway.use(
+                record(f'leaving-{number}', leaving), record('up-1', staying)
+            )
+            status, _, _ = await gateway.ask('POST', body=b'x')
+            assert status == 200
+        assert upstreams[0].connections
+        assert not upstreams[0].received
+
+    config = configuration(RouteKind.NON_IDEMPOTENT, max_attempts=1)
+    run_with(config, [replies(), replies()], check)
+
+
 def test_answer_of_another_request_never_reaches_a_caller():
     async def check(gateway: Gateway, upstreams: Upstreams) -> None:
         status, _, _ = await gateway.ask('POST', body=b'x')
