Keep the limits that upstreams name in their answers

Cause: nothing read the header field; the rates before and after it was named are the same, and no retry, stop or coordinator is near. Change: the head of each answer of an upstream is read for its limit, also of refusals, errors and answers that are given up; a malformed one is logged and changes nothing. The coordinator of the service holds a token bucket for each limited upstream and takes a token at placement, so that retries and hedges count; other upstreams carry the rest, and if all name limits, requests wait for the tokens in turn or are refused with the time of theirs. An attempt reports the limit to the coordinator and its successors; these tell each other every 0.2 s what they know and what they granted. A VM that knows a limit tells it to a coordinator that does not. A limit ends with two answers to later requests that name none, or with a restart of the upstream; its end is remembered, so that an older word does not bring it back.

--- a/teaselquay/coordination/__init__.py
+++ b/teaselquay/coordination/__init__.py
@@ -16,6 +16,13 @@
     Ticket,
 )
 from teaselquay.coordination._quotas import Admission, QuotaLedger
+from teaselquay.coordination._rate_limits import (
+    LimitChange,
+    LimitShare,
+    RateLimit,
+    RateLimits,
+    RateStatement,
+)
 from teaselquay.coordination._scheduling import ServiceScheduler
 from teaselquay.coordination._waiting import WaitingRoom
 
@@ -23,11 +30,16 @@
     'Admission',
     'SUSPICION_THRESHOLD',
     'Belief',
+    'LimitChange',
+    'LimitShare',
     'Outcome',
     'Placement',
     'PlacementRefusal',
     'PlacementRequest',
     'QuotaLedger',
+    'RateLimit',
+    'RateLimits',
+    'RateStatement',
     'RefusalReason',
     'RepeatPolicy',
     'ServiceScheduler',
--- a/teaselquay/coordination/_placement.py
+++ b/teaselquay/coordination/_placement.py
@@ -49,6 +49,8 @@
     #: The upstreams shed much of what they are sent.
     SHEDDING = 'shedding'
     REPEAT_BUDGET = 'repeat-budget'
+    #: The upstreams that are left name limits, and have got what they take.
+    RATE_LIMITED = 'rate-limited'
     QUARANTINED = 'quarantined'
 
 
@@ -88,6 +90,8 @@
     evidence_age_s: float = 0.0
     #: The VM that decided.
     placed_by: VmName = NO_VM
+    #: Whether that VM knows of a limit of the upstream.
+    is_rate_limited: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/teaselquay/coordination/_scheduling.py
+++ b/teaselquay/coordination/_scheduling.py
@@ -27,6 +27,11 @@
     RefusalReason,
     Ticket,
 )
+from teaselquay.coordination._rate_limits import (
+    LimitChange,
+    RateLimits,
+    RateStatement,
+)
 from teaselquay.coordination._shedding import RateEstimate, ShedMonitor
 from teaselquay.coordination._usage import UsageTracker
 from teaselquay.coordination._waiting import ReturnSchedule
@@ -143,6 +148,11 @@
     #: Returns of refused requests that wait for room and for the budget.
     _room_returns: ReturnSchedule = field(default_factory=ReturnSchedule)
     _repeat_returns: ReturnSchedule = field(default_factory=ReturnSchedule)
+    #: Limits that the upstreams name, and returns that wait for their tokens.
+    limits: RateLimits = field(default_factory=RateLimits)
+    _token_returns: ReturnSchedule = field(default_factory=ReturnSchedule)
+    #: VMs among which the limits are divided, 1 for a coordinator.
+    _limit_divisor: int = 1
     _expirations: list[tuple[Instant, Ticket]] = field(default_factory=list)
 
     def __post_init__(self) -> None:
@@ -154,13 +164,16 @@
         request: PlacementRequest,
         upstreams: Sequence[UpstreamRecord],
         now: Instant,
+        limit_divisor: int = 1,
     ) -> Placement | PlacementRefusal:
         """Return the upstream for `request`, or why it is refused.
 
         A placed request counts as in flight until `finish` or its expiry.
         `upstreams` is not to change between calls: a change comes as another
-        sequence.
+        sequence. `limit_divisor` is the number of VMs that decide without a
+        coordinator, among which the limits of upstreams are divided.
         """
+        self._limit_divisor = limit_divisor
         if upstreams is not self._upstreams:
             self._replace_upstreams(upstreams, now)
         self._process_timers(now)
@@ -171,7 +184,7 @@
             )
         candidates = self._candidates(request, now)
         if not candidates:
-            return PlacementRefusal(RefusalReason.NO_UPSTREAM, 1.0)
+            return self._refusal_without_candidates(request, now)
         best = self._best(candidates, request, now)
         refusal = self._refusal(request, best, now)
         if refusal is not None:
@@ -200,6 +213,20 @@
             if not self.successes.has(fingerprint, now):
                 self.quarantine.record_crash(fingerprint, upstream, now)
 
+    def record_statement(
+        self,
+        upstream: UpstreamName,
+        statement: RateStatement,
+        latency_s: float,
+        now: Instant,
+    ) -> LimitChange:
+        """Record what an answer after `latency_s` seconds says of a limit.
+
+        Return what changed.
+        """
+        sent_at = Instant(now - latency_s)
+        return self.limits.record(upstream, statement, sent_at, now)
+
     def record_refusal(self, now: Instant) -> None:
         """Record a request that was refused before placement."""
         self._count_outcome(False, now)
@@ -243,12 +270,17 @@
                 )
         return found
 
-    def forget_missing(self, upstreams: Sequence[UpstreamRecord]) -> None:
+    def forget_missing(
+        self,
+        upstreams: Sequence[UpstreamRecord],
+        now: Instant,
+    ) -> None:
         """Discard the statistics of upstreams that are not in `upstreams`.
 
         Those with attempts in flight are kept.
         """
         kept = {up.name for up in upstreams}
+        self.limits.forget_missing(kept, now)
         self._stats_by_upstream = {
             name: stats
             for name, stats in self._stats_by_upstream.items()
@@ -339,13 +371,18 @@
         drawn = self._sampler.draw(
             request.zone,
             request.connected,
-            self._usage.due_for_exploration(_MAX_EXPLORED),
+            self._usage.due_for_exploration(
+                _MAX_EXPLORED,
+                lambda name: not self.limits.is_exhausted(name, now),
+            ),
         )
         reachable = self._reachable(drawn, request, now)
         if reachable:
             return reachable
         others = [
-            up for up in self._upstreams if up.name not in request.excluded
+            up
+            for up in self._upstreams
+            if up.name not in request.excluded and self._is_permitted(up, now)
         ]
         # If none is reachable, a network fault is more likely.
         return self._reachable(others, request, now) or others
@@ -362,8 +399,39 @@
             for up in upstreams
             if up.name not in request.excluded
             and not stats[up.name].is_unreachable(now)
+            and self._is_permitted(up, now)
         ]
 
+    def _is_permitted(self, upstream: UpstreamRecord, now: Instant) -> bool:
+        """Return whether the limit of `upstream` permits a request now."""
+        if self._limit_divisor == 1:
+            return self.limits.has_token(upstream, now)
+        return self.limits.has_turn(
+            upstream, self._limit_divisor, self.random, now
+        )
+
+    def _refusal_without_candidates(
+        self,
+        request: PlacementRequest,
+        now: Instant,
+    ) -> PlacementRefusal:
+        """Return the refusal of `request` if no upstream may get it.
+
+        Load pattern: all upstreams that are left name limits. Requests return
+        in the order of their refusals, at the rate of the limits together.
+        """
+        wait_s, rate_per_s = self.limits.next_token(
+            [up for up in self._upstreams if up.name not in request.excluded],
+            now,
+        )
+        if not rate_per_s:
+            return PlacementRefusal(RefusalReason.NO_UPSTREAM, 1.0)
+        rate_per_s /= self._limit_divisor
+        reserved_s = self._token_returns.reserve(rate_per_s, now)
+        return self._refuse_until(
+            RefusalReason.RATE_LIMITED, max(wait_s, reserved_s)
+        )
+
     def _best(
         self,
         candidates: Sequence[UpstreamRecord],
@@ -505,7 +573,9 @@
             stats.belief.probability_at(now),
             stats.in_flight,
             stats.belief.evidence_age_s_at(now),
+            is_rate_limited=self.limits.limit_of(upstream) is not None,
         )
+        self.limits.take(upstream.name, self._limit_divisor, now)
         stats.in_flight += 1
         stats.last_used_at = now
         self._usage.refresh(upstream.name, now)
--- a/teaselquay/coordination/_usage.py
+++ b/teaselquay/coordination/_usage.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
 from itertools import islice
+from typing import Callable
 
 from teaselquay.coordination._knowledge import UpstreamStats
 from teaselquay.decisions import Instant, UpstreamName
@@ -88,9 +89,16 @@
                 status.look_at = _NEVER
                 self.refresh(name, now)
 
-    def due_for_exploration(self, limit: int) -> list[UpstreamName]:
-        """Return at most `limit` idle upstreams, longest idle first."""
-        return list(islice(self._due, limit))
+    def due_for_exploration(
+        self,
+        limit: int,
+        is_permitted: Callable[[UpstreamName], bool] | None = None,
+    ) -> list[UpstreamName]:
+        """Return at most `limit` idle upstreams, longest idle first.
+
+        Those for which `is_permitted` is false are left out.
+        """
+        return list(islice(filter(is_permitted, self._due), limit))
 
     def _count(self, status: _Status, sign: int) -> None:
         if status.is_healthy:
--- a/teaselquay/coordination/_waiting.py
+++ b/teaselquay/coordination/_waiting.py
@@ -13,6 +13,7 @@
         RefusalReason.OVERLOADED,
         RefusalReason.SHEDDING,
         RefusalReason.REPEAT_BUDGET,
+        RefusalReason.RATE_LIMITED,
     )
 )
 
--- a/teaselquay/fleet/_coordinators.py
+++ b/teaselquay/fleet/_coordinators.py
@@ -46,6 +46,7 @@
     placement_fields,
     placement_request_fields,
 )
+from teaselquay.fleet._limit_exchange import LimitExchange
 from teaselquay.fleet._state import FleetState
 from teaselquay.shells import (
     Answer,
@@ -123,6 +124,19 @@
     #: Largest share of the fleet that another coordinator reaches.
     _reached_share: float = 0.0
     _reached_share_until: Instant = Instant(0.0)
+    _limit_exchange: LimitExchange = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Create the exchange of limits."""
+        self._limit_exchange = LimitExchange(
+            self.vm,
+            self.link,
+            self.directory,
+            self.clock,
+            self.journal,
+            self._schedulers,
+            self.scheduler,
+        )
 
     def start(self, timers: TimerService) -> None:
         """Register the message handlers and periodic tasks."""
@@ -136,6 +150,7 @@
         }
         for kind, handler in handlers_by_kind.items():
             self.link.on(kind, handler)
+        self._limit_exchange.start(timers)
         self.state.subscribe(self._forget_missing)
         timers.subscribe('beat', _HEARTBEAT_PERIOD_S, self._send_heartbeats)
         timers.subscribe('unused', _UNUSED_PERIOD_S, self._log_unused)
@@ -181,7 +196,9 @@
                 return self._place_itself(service, request, is_alone=False)
             answer = await self._call(vm, 'place', fields)
             if answer is not None and answer.refusal != 'unavailable':
-                return parse_placement(answer, vm)
+                placed = parse_placement(answer, vm)
+                self._tell_unknown_limit(service, placed)
+                return placed
         self.journal.emit(
             Event.PLACED_LOCALLY,
             service=service,
@@ -192,14 +209,14 @@
     def report_attempt(self, result: AttemptResult) -> None:
         """Record an attempt, and report it to the coordinator.
 
-        Failures are also sent to its successors, so that they survive a
-        change of coordinator.
+        Failures and limits are also sent to its successors, so that they
+        survive a change of coordinator.
         """
         self._record_attempt(result, self.vm)
         subject = f'service-{result.service}'
         ranked = self.directory.coordinators_for(subject, self.clock.now())
         recipients = 1
-        if result.outcome in _REPLICATED_OUTCOMES:
+        if result.outcome in _REPLICATED_OUTCOMES or _names_limit(result):
             recipients += _SUCCESSOR_COUNT
         for vm in ranked[:recipients]:
             self._send(vm, 'finished', attempt_fields(result))
@@ -280,7 +297,23 @@
                 return PlacementRefusal(
                     RefusalReason.REPEAT_BUDGET, _ALONE_WAIT_S, self.vm
                 )
-        return self._schedule(service, request)
+        divisor = self.directory.vm_count() if is_alone else 1
+        return self._schedule(service, request, divisor)
+
+    def _tell_unknown_limit(
+        self,
+        service: ServiceName,
+        placed: Placement | PlacementRefusal,
+    ) -> None:
+        """Tell a coordinator a limit that it does not know.
+
+        Load pattern: a coordinator and its successors are lost at once. The
+        VMs that have seen answers of an upstream know its limit.
+        """
+        if isinstance(placed, Placement) and not placed.is_rate_limited:
+            self._limit_exchange.tell(
+                placed.placed_by, service, placed.upstream
+            )
 
     def _is_parted(self) -> bool:
         """Return whether this VM hears from less than half of the fleet."""
@@ -328,11 +361,13 @@
         self,
         service: ServiceName,
         request: PlacementRequest,
+        limit_divisor: int = 1,
     ) -> Placement | PlacementRefusal:
         placed = self.scheduler(service).place(
             request,
             self.state.usable(service),
             self.clock.now(),
+            limit_divisor,
         )
         return replace(placed, placed_by=self.vm)
 
@@ -349,6 +384,13 @@
             reporter,
             result.fingerprint,
         )
+        if result.rate_statement is not None:
+            change = scheduler.record_statement(
+                result.upstream, result.rate_statement, result.latency_s, now
+            )
+            self._limit_exchange.log_change(
+                result.service, result.upstream, change, reporter
+            )
         suspicion_after = scheduler.in_spell(result.upstream, now)
         if suspicion_before < SUSPICION_THRESHOLD <= suspicion_after:
             self.journal.emit(
@@ -511,8 +553,14 @@
 
     def _forget_missing(self) -> None:
         records = tuple(self.state.upstreams_by_name.values())
+        now = self.clock.now()
         for scheduler in self._schedulers.values():
-            scheduler.forget_missing(records)
+            scheduler.forget_missing(records, now)
+
+
+def _names_limit(result: AttemptResult) -> bool:
+    statement = result.rate_statement
+    return statement is not None and statement.rate is not None
 
 
 def _unused_fields(unused: UnusedUpstream) -> dict[str, object]:
--- a/teaselquay/fleet/_exchanges.py
+++ b/teaselquay/fleet/_exchanges.py
@@ -10,6 +10,7 @@
     Placement,
     PlacementRefusal,
     PlacementRequest,
+    RateStatement,
     RefusalReason,
     Ticket,
 )
@@ -19,6 +20,9 @@
 MS_PER_S = 1000
 _PERMILLE = 1000
 _MAX_UINT32 = (1 << 32) - 1
+#: Names in the schema of what an answer says of a limit.
+_UNLIMITED = 'unlimited'
+_LIMITED = 'limited'
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,6 +35,8 @@
     outcome: Outcome
     latency_s: float
     fingerprint: bytes = b''
+    #: What the answer says of a limit of the upstream, if anything.
+    rate_statement: RateStatement | None = None
 
 
 def _to_ms(seconds: float) -> int:
@@ -87,6 +93,7 @@
         'inSpellPermille': int(placed.in_spell * _PERMILLE),
         'inFlight': placed.in_flight,
         'evidenceAgeMs': _to_ms(placed.evidence_age_s),
+        'isRateLimited': placed.is_rate_limited,
     }
 
 
@@ -112,6 +119,7 @@
         body.inFlight,
         body.evidenceAgeMs / MS_PER_S,
         vm,
+        bool(body.isRateLimited),
     )
 
 
@@ -124,6 +132,7 @@
         'outcome': result.outcome.value,
         'latencyMs': _to_ms(result.latency_s),
         'fingerprint': result.fingerprint,
+        **_statement_fields(result.rate_statement),
     }
 
 
@@ -136,4 +145,26 @@
         outcome=Outcome(body.outcome),
         latency_s=body.latencyMs / MS_PER_S,
         fingerprint=bytes(body.fingerprint),
+        rate_statement=_parse_statement(body),
     )
+
+
+def _statement_fields(statement: RateStatement | None) -> dict[str, Any]:
+    if statement is None:
+        return {}
+    if statement.rate is None:
+        return {'limit': _UNLIMITED, 'startedMs': statement.started_ms}
+    return {
+        'limit': _LIMITED,
+        'rate': statement.rate,
+        'startedMs': statement.started_ms,
+    }
+
+
+def _parse_statement(body: Any) -> RateStatement | None:
+    kind = str(body.limit)
+    if kind == _LIMITED:
+        return RateStatement(body.rate, body.startedMs)
+    if kind == _UNLIMITED:
+        return RateStatement(None, body.startedMs)
+    return None
--- a/teaselquay/gateway/_call.py
+++ b/teaselquay/gateway/_call.py
@@ -5,10 +5,11 @@
 from typing import AsyncIterator, Callable
 
 from teaselquay.configuration import UpstreamRecord
-from teaselquay.coordination import Outcome
+from teaselquay.coordination import Outcome, RateStatement
 from teaselquay.decisions import Instant, UpstreamName
 from teaselquay.gateway._body import RequestBody
 from teaselquay.gateway._dialect import HeaderNames
+from teaselquay.gateway._rate_field import RateFieldError, parse_rate
 from teaselquay.pipeline import (
     NOT_FORWARDED,
     Exchange,
@@ -80,6 +81,10 @@
     #: How long a reused connection had been idle, in seconds.
     idle_s: float = 0.0
     began: Instant = Instant(0.0)
+    #: What the head of the answer says of a limit, once it has arrived.
+    rate_statement: RateStatement | None = None
+    #: Why the limit that it names cannot be read, or an empty string.
+    rate_error: str = ''
     _sender: 'asyncio.Task[None] | None' = None
     _buffered: list[bytes] = field(default_factory=list)
 
@@ -159,6 +164,7 @@
             self.connection.close()
             reason = 'the answer belongs to another request'
             return CallResult(Outcome.BROKEN, True, reason)
+        self._read_rate_statement(head)
         declined_result = self._declined_result(head)
         if declined_result is not None:
             return declined_result
@@ -265,6 +271,25 @@
         self.connection.close()
         return CallResult(outcome, False, f'status {head.status}', head)
 
+    def _read_rate_statement(self, head: AnswerHead) -> None:
+        """Read what `head` says of a limit of the upstream.
+
+        Only an answer to a request that ran says that there is none. One from
+        another upstream, or without the mark of any, says nothing.
+        """
+        has_run = head.field(self.header_names.stamp) is not None
+        was_declined = head.field(self.header_names.not_executed) is not None
+        if head.status == _MISDIRECTED_STATUS or not (has_run or was_declined):
+            return
+        try:
+            rate = parse_rate(head.headers, self.header_names.rate_limit)
+        except RateFieldError as error:
+            self.rate_error = str(error)
+            return
+        if rate is not None or not was_declined:
+            started_ms = self.target.upstream.started_ms
+            self.rate_statement = RateStatement(rate, started_ms)
+
     def _answers_request(self, head: AnswerHead) -> bool:
         """Return whether `head` has the id that was sent, if any was.
 
--- a/teaselquay/gateway/_dialect.py
+++ b/teaselquay/gateway/_dialect.py
@@ -21,3 +21,6 @@
     not_executed: bytes = b'x-not-executed'
     #: Set by upstreams on each answer that they generate.
     stamp: bytes = b'x-answer-stamp'
+    #: Requests per second that an upstream takes from all callers together,
+    #: as a decimal number, for as long as its answers state it.
+    rate_limit: bytes = b'x-rate-limit'
--- a/teaselquay/gateway/_dispatch.py
+++ b/teaselquay/gateway/_dispatch.py
@@ -8,6 +8,7 @@
     Placement,
     PlacementRefusal,
     PlacementRequest,
+    RateStatement,
     RefusalReason,
     Ticket,
 )
@@ -361,7 +362,11 @@
         upstream = call.target.upstream
         duration_s = self.parts.clock.now() - call.began
         self._report_outcome(
-            attempt.ticket, upstream.name, result.outcome, duration_s
+            attempt.ticket,
+            upstream.name,
+            result.outcome,
+            duration_s,
+            self._rate_statement(attempt),
         )
         self._update_idle_limit(call, result.outcome)
         if result.outcome is Outcome.SERVED:
@@ -444,15 +449,39 @@
                 attempt.call.target.upstream.name,
                 outcome,
                 duration_s,
+                self._rate_statement(attempt),
             )
         self._active.clear()
 
+    def _rate_statement(self, attempt: _Attempt) -> RateStatement | None:
+        """Return what the answer says of a limit, if that matters.
+
+        Most answers name none of upstreams that never named one.
+        """
+        call = attempt.call
+        upstream = call.target.upstream
+        if call.rate_error:
+            self._log(
+                Event.LIMIT_REJECTED,
+                upstream=upstream.name,
+                reason=call.rate_error,
+            )
+        statement = call.rate_statement
+        if statement is None or statement.rate is not None:
+            return statement
+        scheduler = self.parts.coordinators.scheduler(self.context.service)
+        is_known = scheduler.limits.limit_of(upstream) is not None
+        if is_known or attempt.placement.is_rate_limited:
+            return statement
+        return None
+
     def _report_outcome(
         self,
         ticket: Ticket,
         upstream: UpstreamName,
         outcome: Outcome,
         duration_s: float,
+        rate_statement: RateStatement | None = None,
     ) -> None:
         context = self.context
         metrics = self.parts.metrics
@@ -468,6 +497,7 @@
                 outcome,
                 duration_s,
                 context.fingerprint,
+                rate_statement,
             ),
         )
 
--- a/teaselquay/gateway/_refusals.py
+++ b/teaselquay/gateway/_refusals.py
@@ -17,6 +17,7 @@
     RefusalReason.OVERLOADED: ProblemKind.QUEUE_TIMEOUT,
     RefusalReason.SHEDDING: ProblemKind.QUEUE_TIMEOUT,
     RefusalReason.REPEAT_BUDGET: ProblemKind.QUEUE_TIMEOUT,
+    RefusalReason.RATE_LIMITED: ProblemKind.QUEUE_TIMEOUT,
     RefusalReason.QUARANTINED: ProblemKind.REQUEST_QUARANTINED,
 }
 #: Retry-After of a request that no upstream accepted, in seconds.
--- a/teaselquay/platform/_settings.py
+++ b/teaselquay/platform/_settings.py
@@ -33,6 +33,7 @@
     expected_upstream=b'x-expect-instance',
     not_executed=b'x-not-executed',
     stamp=b'x-response-stamp',
+    rate_limit=b'server-limit',
 )
 
 
--- a/teaselquay/shells/messages.capnp
+++ b/teaselquay/shells/messages.capnp
@@ -27,6 +27,7 @@
     beat @20 :Void;
     changed @21 :Pulled;
     levels @22 :Levels;
+    limits @23 :Limits;
   }
 }
 
@@ -220,6 +221,8 @@
   inSpellPermille @3 :UInt16;
   inFlight @4 :UInt16;
   evidenceAgeMs @5 :UInt32;
+  # The sender knows of a limit that the upstream names.
+  isRateLimited @6 :Bool;
 }
 
 # The outcome of one attempt.
@@ -230,6 +233,17 @@
   outcome @3 :Text;
   latencyMs @4 :UInt32;
   fingerprint @5 :Data;
+  # What the answer says of a limit of the upstream, which started at
+  # `startedMs`: `rate` holds only if the answer names one.
+  limit @6 :LimitKind;
+  rate @7 :Float64;
+  startedMs @8 :UInt64;
+}
+
+enum LimitKind {
+  notStated @0;
+  unlimited @1;
+  limited @2;
 }
 
 # The state that a VM announces to all others.
@@ -248,3 +262,23 @@
   team @0 :Text;
   centi @1 :Int32;
 }
+
+# What the sender knows of the limits that upstreams of a service name.
+struct Limits {
+  service @0 :Text;
+  limits @1 :List(RateLimit);
+}
+
+struct RateLimit {
+  upstream @0 :Text;
+  # Start of the process that named it.
+  startedMs @1 :UInt64;
+  # False after the limit has ended.
+  isLimited @2 :Bool;
+  # Requests per second.
+  rate @3 :Float64;
+  # Time since the sender, or whoever told it, heard it.
+  ageMs @4 :UInt32;
+  # Requests that the sender has placed on the upstream since it knows.
+  granted @5 :UInt32;
+}
--- a/tests/support/fake_network.py
+++ b/tests/support/fake_network.py
@@ -82,6 +82,7 @@
     'slow': [],
     'keys': [],
     'levels': [],
+    'limits': [],
     'settled': [],
     'wantsAges': False,
     'wantsWhole': False,
