Replay limits of upstreams at the worst load, and show them in the metrics

Two patterns: a third of 21 upstreams names 1 to 5 a second while requests double, and all of them name limits below what is sent. Metrics: teaselquay_limited_upstreams, _limited_rate, _limited_sends_total.

--- a/replays/__main__.py
+++ b/replays/__main__.py
@@ -34,6 +34,7 @@
                     'repeats_10s': report.most_repeats(),
                     'remote': round(report.remote_share, 3),
                     'unevenness': round(report.unevenness(), 2),
+                    'limit': round(report.worst_limit(), 2),
                 }
             )
     click.echo(tabulate(rows, headers='keys'))
--- a/replays/_patterns.py
+++ b/replays/_patterns.py
@@ -27,7 +27,8 @@
     Each upstream fails most requests at once in spells of about 3 s in 10 if
     `has_spells`. In `sheds`, all upstreams shed a share of what they are
     sent. In `bursts`, the rate is multiplied. In `slow`, a third of the
-    upstreams works that many times as long.
+    upstreams works that many times as long. In `limits`, a share of them
+    names limits of 1 to 5 requests a second.
     """
 
     what: str
@@ -51,6 +52,7 @@
     sheds: tuple[Window, ...] = ()
     bursts: tuple[Window, ...] = ()
     slow: tuple[Window, ...] = ()
+    limits: tuple[Window, ...] = ()
 
 
 def _pattern(build: Callable[[], Pattern]) -> Callable[[], Pattern]:
@@ -145,3 +147,33 @@
         requests_per_s=500.0,
         work_s=0.91,
     )
+
+
+@_pattern
+def _limits_at_worst_load() -> Pattern:
+    return Pattern(
+        'a third names limits of 1 to 5 a second during a burst',
+        upstreams=21,
+        requests_per_s=65.0,
+        work_s=0.47,
+        target_s=1.5,
+        deadline_s=10.0,
+        repeat_slack=64.0,
+        bursts=(Window(12.0, 16.0, 2.0),),
+        limits=(Window(8.0, 24.0, 1 / 3),),
+    )
+
+
+@_pattern
+def _all_name_limits() -> Pattern:
+    return Pattern(
+        'all name limits, together less than is sent; callers do not return',
+        upstreams=21,
+        requests_per_s=100.0,
+        work_s=0.47,
+        target_s=1.5,
+        deadline_s=10.0,
+        repeat_slack=64.0,
+        has_spells=False,
+        limits=(Window(8.0, 20.0, 1.0),),
+    )
--- a/replays/_world.py
+++ b/replays/_world.py
@@ -14,6 +14,7 @@
     Placement,
     PlacementRefusal,
     PlacementRequest,
+    RateStatement,
     RepeatPolicy,
     ServiceScheduler,
     Ticket,
@@ -35,6 +36,10 @@
 _SPELL_FAILURES = 0.9
 _SLOW_SHARE = 3
 _BUDGET_WINDOW_S = 10.0
+_LIMIT_WINDOW_S = 4.0
+#: Time in seconds in which a limit that was just named need not be kept.
+_LIMIT_GRACE_S = 3.0
+_MAX_LIMIT = 5
 
 
 @dataclass(slots=True)
@@ -51,6 +56,9 @@
     repeats_at: list[float] = field(default_factory=list)
     #: Sends to upstreams of another zone than that of the request.
     remote_sends: int = 0
+    #: Sends to each upstream while it names a limit, and this limit.
+    limited_at: dict[UpstreamName, list[float]] = field(default_factory=dict)
+    limits: dict[UpstreamName, float] = field(default_factory=dict)
 
     @property
     def remote_share(self) -> float:
@@ -80,6 +88,23 @@
             most = max(most, end - begin + 1)
         return most
 
+    def worst_limit(self) -> float:
+        """Return the largest share of what a limit allows that was sent.
+
+        Four seconds of one and a half times the rate are allowed, and five
+        requests.
+        """
+        worst = 0.0
+        for name, times in self.limited_at.items():
+            most = begin = 0
+            for end, at in enumerate(times):
+                while times[begin] < at - _LIMIT_WINDOW_S:
+                    begin += 1
+                most = max(most, end - begin + 1)
+            allowed = 1.5 * _LIMIT_WINDOW_S * self.limits[name] + 5
+            worst = max(worst, most / allowed)
+        return worst
+
     def unevenness(self) -> float:
         """Return how many times the mean the busiest upstream was sent."""
         sends = self.sends_by_upstream.values()
@@ -91,6 +116,7 @@
     record: UpstreamRecord
     spells: list[tuple[float, float]]
     is_slow: bool
+    index: int
     busy: int = 0
     queue: deque[Callable[[], None]] = field(default_factory=deque)
 
@@ -170,7 +196,7 @@
             end = at + self._random.expovariate(1 / _SPELL_S)
             spells.append((at, end))
             at = end + self._random.expovariate(1 / _BETWEEN_S)
-        return _Upstream(record, spells, index % _SLOW_SHARE == 0)
+        return _Upstream(record, spells, index % _SLOW_SHARE == 0, index)
 
     def _next_arrival(self) -> None:
         pattern = self._pattern
@@ -261,6 +287,7 @@
         request.tried.add(name)
         upstream = self._upstreams[name]
         began = self._now
+        self._count_limited(upstream)
 
         def finish(outcome: Outcome) -> None:
             self._scheduler.finish(
@@ -270,6 +297,12 @@
                 self._now - began,
                 Instant(self._now),
             )
+            self._scheduler.record_statement(
+                name,
+                RateStatement(self._limit(upstream, self._now)),
+                self._now - began,
+                Instant(self._now),
+            )
             self._finish(request, outcome)
 
         outcome = self._immediate_outcome(upstream)
@@ -281,6 +314,25 @@
         else:
             upstream.queue.append(lambda: self._work(upstream, finish))
 
+    def _limit(self, upstream: _Upstream, now: float) -> float | None:
+        """Return the limit that an upstream names at `now`, if any."""
+        limited_count = sum(
+            window.strength * len(self._upstreams)
+            for window in self._pattern.limits
+            if window.holds(now)
+        )
+        if upstream.index >= limited_count:
+            return None
+        return 1.0 + upstream.index % _MAX_LIMIT
+
+    def _count_limited(self, upstream: _Upstream) -> None:
+        limit = self._limit(upstream, self._now)
+        named_for = self._limit(upstream, self._now - _LIMIT_GRACE_S)
+        if limit is not None and named_for is not None:
+            name = upstream.record.name
+            self.report.limits[name] = limit
+            self.report.limited_at.setdefault(name, []).append(self._now)
+
     def _immediate_outcome(self, upstream: _Upstream) -> Outcome | None:
         for shed in self._pattern.sheds:
             is_shed = self._random.random() < shed.strength
--- a/teaselquay/coordination/_rate_limits.py
+++ b/teaselquay/coordination/_rate_limits.py
@@ -187,6 +187,8 @@
     """
 
     by_upstream: dict[UpstreamName, RateLimit] = field(default_factory=dict)
+    #: Requests that this VM has placed on limited upstreams.
+    granted: int = 0
 
     def record(
         self,
@@ -256,7 +258,8 @@
     ) -> None:
         """Record a request to `upstream`; `vm_count` is as in `has_turn`."""
         limit = self.by_upstream.get(upstream)
-        if limit is not None:
+        if limit is not None and limit.is_active:
+            self.granted += 1
             limit.granted += 1
             limit.take(now)
             limit.use_turn(vm_count)
--- a/teaselquay/gateway/_collector.py
+++ b/teaselquay/gateway/_collector.py
@@ -14,6 +14,7 @@
 #: the memory and the load on the metrics backend of a long list of routes.
 _MAX_LABELED_ROUTES = 200
 _OTHER_LABEL = 'other'
+_SERVICE_LABELS = ('service',)
 
 
 @dataclass(slots=True)
@@ -69,6 +70,7 @@
             self.link.octets,
         )
         yield from self._services()
+        yield from self._limits()
 
     def _version(self) -> Metric:
         table = self.member.state.table
@@ -100,17 +102,17 @@
         usable_metric = GaugeMetricFamily(
             'teaselquay_upstreams',
             'Upstreams that take new work.',
-            labels=('service',),
+            labels=_SERVICE_LABELS,
         )
         suspected_metric = GaugeMetricFamily(
             'teaselquay_suspected_slots',
             'Slots of upstreams that are more likely than not in a spell.',
-            labels=('service',),
+            labels=_SERVICE_LABELS,
         )
         budget_metric = GaugeMetricFamily(
             'teaselquay_second_sends_left',
             'Second sends that the coordinator on this VM may still allow.',
-            labels=('service',),
+            labels=_SERVICE_LABELS,
         )
         now = self.clock.now()
         coordinators = self.member.coordinators
@@ -126,3 +128,32 @@
             suspected_metric.add_metric((service,), slots)
             budget_metric.add_metric((service,), scheduler.second_sends_left())
         return usable_metric, suspected_metric, budget_metric
+
+    def _limits(self) -> Iterable[Metric]:
+        limited_metric = GaugeMetricFamily(
+            'teaselquay_limited_upstreams',
+            'Upstreams that name a limit, as this VM knows it.',
+            labels=_SERVICE_LABELS,
+        )
+        rate_metric = GaugeMetricFamily(
+            'teaselquay_limited_rate',
+            'Requests per second that these upstreams take together.',
+            labels=_SERVICE_LABELS,
+        )
+        placed_metric = CounterMetricFamily(
+            'teaselquay_limited_sends',
+            'Requests that this VM placed on upstreams that name a limit.',
+            labels=_SERVICE_LABELS,
+        )
+        coordinators = self.member.coordinators
+        for service in coordinators.services():
+            limits = coordinators.scheduler(service).limits
+            rates = [
+                limit.rate
+                for upstream in self.member.state.usable(service)
+                if (limit := limits.limit_of(upstream)) is not None
+            ]
+            limited_metric.add_metric([service], len(rates))
+            rate_metric.add_metric([service], sum(rates))
+            placed_metric.add_metric([service], limits.granted)
+        return limited_metric, rate_metric, placed_metric
--- a/tests/replays/test_replays.py
+++ b/tests/replays/test_replays.py
@@ -66,3 +66,25 @@
     assert _mean_served(_play('calm')) >= 1 - 0.012 - 0.27 / 4
     # Second attempts make up for nearly all of them.
     assert _mean_served(_play('lookups')) >= 0.99
+
+
+@pytest.mark.parametrize('name', ['limits-at-worst-load', 'all-name-limits'])
+def test_limits_of_upstreams_hold_at_the_worst_load(name: str):
+    for report in _play(name):
+        assert report.limited_at
+        assert report.worst_limit() <= 1
+    # Upstreams chosen at random get several times what they take.
+    for report in _play(name, is_random=True, can_wait=False):
+        assert report.worst_limit() > 1
+
+
+def test_limits_of_some_upstreams_cost_callers_nothing():
+    """The other upstreams carry what the limited ones do not take."""
+    limited = _play('limits-at-worst-load')
+    assert _mean_served(limited) >= 1 - 0.012 - 0.27 / 4
+
+
+def test_waiting_for_limits_serves_more_than_refusing_at_once():
+    waiting = _play('all-name-limits')
+    refusing = _play('all-name-limits', can_wait=False)
+    assert _mean_served(waiting) > _mean_served(refusing)
