--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -19,6 +19,7 @@
 _WINDOW_S = 5.0
 _OVERSHOOT = 0.1
 _SLACK = 20
+LIMIT_WINDOW_S = 4.0
 #: Limits of one process on the users' smallest VMs.
 _MOST_MB = 200
 _MOST_FILES = 4100
@@ -106,6 +107,26 @@
             return
 
 
+@check('limits')
+def _limits(record: Record) -> Iterator[str]:
+    for upstream, rate, span in record.limits:
+        allowed = 1.5 * LIMIT_WINDOW_S * rate + 5
+        times = sorted(
+            run.at_s
+            for run in record.runs
+            if run.upstream == upstream
+            and span.begin_s + STABLE_S <= run.at_s <= span.end_s
+        )
+        first = 0
+        for index, at_s in enumerate(times):
+            while times[first] < at_s - LIMIT_WINDOW_S:
+                first += 1
+            if index - first + 1 > allowed:
+                count = index - first + 1
+                yield f'{count} runs at {upstream} of {allowed:g} by {at_s:.2f}'
+                break
+
+
 @check('withdrawn keys')
 def _withdrawn_keys(record: Record) -> Iterator[str]:
     for call in record.calls:
--- a/soak/_plan.py
+++ b/soak/_plan.py
@@ -8,6 +8,9 @@
 #: for the fleet to settle, the last for it to recover.
 SETTLE_S = 2.0
 RECOVER_S = 6.0
+#: Shortest time for which an upstream names a limit, in seconds: limits are
+#: checked after some seconds only.
+MIN_LIMIT_S = 5.0
 
 
 class Fault(Enum):
@@ -35,6 +38,7 @@
     RELEASE = 'release'
     SPELL = 'spell'
     HANG = 'hang'
+    LIMIT = 'limit'
 
 
 class Link(Enum):
@@ -61,6 +65,7 @@
         Fault.DRAIN,
         Fault.SPELL,
         Fault.HANG,
+        Fault.LIMIT,
     ),
 )
 
@@ -97,6 +102,8 @@
     while at_s < seconds - RECOVER_S:
         fault = random.choice(list(Fault))
         for_s = random.uniform(0.2, 3) if fault in LASTING else 0
+        if fault is Fault.LIMIT:
+            for_s += MIN_LIMIT_S
         for_s = min(for_s, seconds - RECOVER_S - at_s)
         step = Step(
             round(at_s, 3),
--- a/soak/_records.py
+++ b/soak/_records.py
@@ -73,6 +73,8 @@
     #: When each key was withdrawn, and each upstream began to leave.
     revoked_s: dict[str, float] = field(default_factory=dict)
     leaving_s: dict[str, list[Span]] = field(default_factory=dict)
+    #: Limits that upstreams named: by which one, the rate, and when.
+    limits: list[tuple[str, float, Span]] = field(default_factory=list)
     #: Versions of the configuration as each process put them in force.
     versions: dict[tuple[int, int], list[int]] = field(default_factory=dict)
     #: Largest memory (MB) and most descriptors of any process.
--- a/soak/_standins.py
+++ b/soak/_standins.py
@@ -78,6 +78,8 @@
     now: Callable[[], float]
     is_in_spell: bool = False
     hangs: bool = False
+    #: Requests per second that it names as its limit; 0 names none.
+    limit: float = 0
     started_ms: int = 1
     state: str = 'ready'
     server: ScriptedUpstream = field(init=False)
@@ -129,7 +131,13 @@
         writer.write(self._stamped(received, body_of(request, body), '200 OK'))
 
     def _stamped(self, received: Received, body: bytes, status: str) -> bytes:
-        return answer(received, body, status, x_response_stamp=self.name)
+        return answer(
+            received,
+            body,
+            status,
+            x_response_stamp=self.name,
+            server_limit=str(self.limit) if self.limit else '',
+        )
 
 
 def configuration(version: int, keys: dict[str, str], limit_s: int) -> bytes:
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -14,6 +14,8 @@
 from soak._standins import SoakStore, SoakUpstream, configuration
 from soak._vms import SoakVm
 
+#: Largest limit in requests per second that an upstream names.
+_MAX_LIMIT = 3
 _UPSTREAMS_BY_SERVICE = {'s': 4, 'u': 3}
 #: Callers for each VM, and those of the team that sends beyond its rate.
 _CALLERS_PER_VM = 4
@@ -327,3 +329,17 @@
     setattr(upstream, name, True)
     await asyncio.sleep(step.for_s)
     setattr(upstream, name, False)
+
+
+@act(Fault.LIMIT)
+async def _name_limit(world: World, step: Step) -> None:
+    upstream = world.upstream_of(step)
+    if upstream.limit:
+        return
+    rate = 1.0 + step.target % _MAX_LIMIT
+    upstream.limit = rate
+    began_s = world.now()
+    await asyncio.sleep(step.for_s)
+    upstream.limit = 0
+    span = Span(began_s, world.now())
+    world.record.limits.append((upstream.name, rate, span))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -69,6 +69,11 @@
         [_call(f'h{index}', key='hot') for index in range(200)],
         [_run(f'h{index}', team='hot') for index in range(200)],
     ),
+    'limits': _record(
+        [_call(f'l{index}') for index in range(12)],
+        [_run(f'l{index}', 20 + index / 4) for index in range(12)],
+        limits=[('s-0', 1.0, Span(10, 30))],
+    ),
     'withdrawn keys': _record(
         [_call('a', key='gone-0', sent_s=_LATE_S)],
         [_run('a', _LATE_S)],
--- a/tests/unit/test_rate_limits.py
+++ b/tests/unit/test_rate_limits.py
@@ -178,6 +178,29 @@
     assert not second.by_upstream[UP].is_active
 
 
+def test_two_coordinators_grant_one_rate_together():
+    """Load pattern: both are asked for more than the limit all the time."""
+    rate = 2.0
+    by_vm = {VmName(name): RateLimits() for name in 'ab'}
+    for limits in by_vm.values():
+        limits.record(UP, RateStatement(rate), Instant(0), Instant(0))
+    record = _upstreams(1)[0]
+    granted = 0
+    for step in range(1, 400):
+        now = Instant(step / 20)
+        for limits in by_vm.values():
+            if limits.has_token(record, now):
+                limits.take(UP, 1, now)
+                granted += 1
+        if step % 4 == 0:
+            shares = {vm: tuple(lim.shares(now)) for vm, lim in by_vm.items()}
+            for vm, limits in by_vm.items():
+                for other in by_vm.keys() - {vm}:
+                    for share in shares[other]:
+                        limits.merge(other, share, now)
+    assert rate * 20 * 0.8 <= granted <= rate * 20 + 2
+
+
 def _upstreams(count: int, started_ms: int = 0) -> tuple[UpstreamRecord, ...]:
     return tuple(
         UpstreamRecord(
@@ -404,6 +427,29 @@
     _run_limited(36, check, _RATES)
 
 
+def test_coordinator_is_told_a_limit_that_it_does_not_know():
+    """Load pattern: the answers that name the limit are not reported again."""
+
+    async def check(fleet: ReplicaFleet, load: LimitedLoad) -> None:
+        candidates = _candidates(fleet)
+        vm = next(vm for vm in fleet.vms if vm not in candidates)
+        for number in range(21):
+            vm.coordinators.scheduler(SERVICE).record_statement(
+                UpstreamName(f'up-{number}'),
+                RateStatement(1.0),
+                0.3,
+                vm.replication.clock.now(),
+            )
+        request = _request(vm.coordinators.new_ticket())
+        placed = await vm.coordinators.place(SERVICE, request)
+        assert isinstance(placed, Placement)
+        await asyncio.sleep(0.1)
+        limits = candidates[0].coordinators.scheduler(SERVICE).limits
+        assert list(limits.by_upstream) == [placed.upstream]
+
+    _run_limited(36, check, {})
+
+
 def test_limits_hold_while_a_coordinator_restarts():
     async def check(fleet: ReplicaFleet, load: LimitedLoad) -> None:
         index = fleet.vms.index(_candidates(fleet)[0])
