--- a/teaselquay/coordination/_scheduling.py
+++ b/teaselquay/coordination/_scheduling.py
@@ -374,18 +374,19 @@
             self._usage.due_for_exploration(
                 _MAX_EXPLORED,
                 lambda name: not self.limits.is_exhausted(name, now),
-            ),
+            )
+            if self.limits.by_upstream
+            else self._usage.due_for_exploration(_MAX_EXPLORED),
         )
         reachable = self._reachable(drawn, request, now)
         if reachable:
             return reachable
         others = [
-            up
-            for up in self._upstreams
-            if up.name not in request.excluded and self._is_permitted(up, now)
+            up for up in self._upstreams if up.name not in request.excluded
         ]
         # If none is reachable, a network fault is more likely.
-        return self._reachable(others, request, now) or others
+        reachable = self._reachable(others, request, now)
+        return reachable or self._permitted(others, now)
 
     def _reachable(
         self,
@@ -394,21 +395,31 @@
         now: Instant,
     ) -> list[UpstreamRecord]:
         stats = self._stats_by_upstream
-        return [
+        reachable = [
             up
             for up in upstreams
             if up.name not in request.excluded
             and not stats[up.name].is_unreachable(now)
-            and self._is_permitted(up, now)
         ]
+        return self._permitted(reachable, now)
 
-    def _is_permitted(self, upstream: UpstreamRecord, now: Instant) -> bool:
-        """Return whether the limit of `upstream` permits a request now."""
-        if self._limit_divisor == 1:
-            return self.limits.has_token(upstream, now)
-        return self.limits.has_turn(
-            upstream, self._limit_divisor, self.random, now
-        )
+    def _permitted(
+        self,
+        upstreams: list[UpstreamRecord],
+        now: Instant,
+    ) -> list[UpstreamRecord]:
+        """Return those of `upstreams` whose limits permit a request now."""
+        limits = self.limits
+        divisor = self._limit_divisor
+        if not limits.by_upstream:
+            return upstreams
+        if divisor == 1:
+            return [up for up in upstreams if limits.has_token(up, now)]
+        return [
+            up
+            for up in upstreams
+            if limits.has_turn(up, divisor, self.random, now)
+        ]
 
     def _refusal_without_candidates(
         self,
