Discard messages of a kind that is not known

Found while the message of limits was added: a VM of an older build gets it from a newer one in a rolling release. Cause: the kind of a message was read outside of the guard for malformed ones, so that the library's exception left the datagram handler; the event loop logged it for each message. Change: such a message counts as one that cannot be decoded. Proof: test_message_of_a_newer_version_is_discarded failed before.

--- a/teaselquay/shells/_messages.py
+++ b/teaselquay/shells/_messages.py
@@ -64,16 +64,20 @@
         """Return the message in `datagram`.
 
         Raises:
-            MessageError: the datagram is not authentic or does not parse.
+            MessageError: the datagram is not authentic or does not parse, or
+                its kind is unknown, as that of a newer version may be.
         """
         mac = datagram[:_MAC_BYTES]
         payload = datagram[_MAC_BYTES:]
         if not hmac.compare_digest(mac, self._mac(payload)):
             raise MessageError('the datagram has a wrong MAC')
         try:
-            return _SCHEMA.Envelope.from_bytes_packed(_inflate(payload))
+            message = _SCHEMA.Envelope.from_bytes_packed(_inflate(payload))
+            # Raises an exception of the library if the kind is unknown.
+            message.which()
         except Exception as error:
             raise MessageError('the datagram cannot be decoded') from error
+        return message
 
     def _mac(self, payload: bytes) -> bytes:
         return hmac.digest(self._secret, payload, _HASH_NAME)[:_MAC_BYTES]
--- a/tests/unit/test_similar_faults.py
+++ b/tests/unit/test_similar_faults.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 from types import SimpleNamespace
 
+import capnp
 import pytest
 from returns.result import Failure
 
@@ -22,7 +23,9 @@
 from teaselquay.platform import PlatformStore
 from teaselquay.platform._settings import read_settings
 from teaselquay.shells import Address, Answer, Codec, DatagramLink
+from teaselquay.shells import _messages
 from teaselquay.shells._http import HttpConnection
+from teaselquay.shells._messages import MessageError
 from tests.support.gateway import (
     Gateway,
     Received,
@@ -191,6 +194,24 @@
     assert not errors, 'an error left the handler'
 
 
+def test_message_of_a_newer_version_is_discarded(tmp_path: Path):
+    schema = Path(_messages.__file__).with_name('messages.capnp').read_text()
+    newer = tmp_path / 'newer.capnp'
+    last = 'limits @23 :Limits;'
+    assert last in schema
+    # Two loaded schemas may not have the same id.
+    schema = schema.replace('@0xd2b4a1c9e7f35a61', '@0xd2b4a1c9e7f35a62')
+    newer.write_text(schema.replace(last, f'{last} newer @24 :Void;'))
+    codec = Codec(b'secret')
+    message = capnp.load(str(newer)).Envelope.new_message(newer=None)
+    payload = b'\0' + message.to_bytes_packed()
+    link = DatagramLink(VmName('vm-1'), Incarnation(1), codec)
+    datagram = codec._mac(payload) + payload
+    link.datagram_received(datagram, ('127.0.0.1', 1))
+    with pytest.raises(MessageError):
+        codec.decode(datagram)
+
+
 def test_refusal_of_a_newer_version_is_understood():
     body = SimpleNamespace(refusal='of-a-newer-version', retryAfterMs=400)
     placed = parse_placement(body, VmName('vm-1'))
