--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 from random import Random
+from typing import Any, Awaitable
 
 from returns.result import Failure, Result, Success
 
@@ -46,6 +47,9 @@
 RATE = 40.0
 #: Time from the start of a VM to its announcement, in seconds.
 _READY_S = 0.3
+#: Time in seconds after which a VM gives up a call that gets no answer, in
+#: addition to the wait that it asked for.
+_CALL_TIMEOUT_S = 1.0
 
 
 class PlainDecoder:
@@ -95,13 +99,17 @@
 
 @dataclass
 class FakeSharedStore:
-    """A store whose changes can be watched; `away` lists who is refused."""
+    """A store whose changes can be watched.
+
+    It refuses the VMs in `away` and does not answer those in `silent`.
+    """
 
     revision: int = 1
     entries: dict[str, Entry] = field(default_factory=dict)
     log: list[Entry] = field(default_factory=list)
     compacted: int = 0
     away: set[VmName] = field(default_factory=set)
+    silent: set[VmName] = field(default_factory=set)
     is_down: bool = False
     calls: int = 0
     changed: asyncio.Event = field(default_factory=asyncio.Event)
@@ -127,6 +135,9 @@
 
     async def read_all(self) -> Result[Delta, StoreUnavailable]:
         """Return every entry."""
+        return await self._answer(self._read_all(), 0)
+
+    async def _read_all(self) -> Result[Delta, StoreUnavailable]:
         if not await self._reach():
             return Failure(StoreUnavailable('away'))
         found = [item for item in self.shared.entries.values() if item.value]
@@ -139,6 +150,13 @@
         wait_s: float,
     ) -> Result[Delta, StoreUnavailable | HistoryLost]:
         """Return what came after `since`."""
+        return await self._answer(self._changes(since, wait_s), wait_s)
+
+    async def _changes(
+        self,
+        since: Revision,
+        wait_s: float,
+    ) -> Result[Delta, StoreUnavailable | HistoryLost]:
         if not await self._reach():
             return Failure(StoreUnavailable('away'))
         if since < self.shared.compacted:
@@ -158,11 +176,30 @@
         self, record: VmRecord
     ) -> Result[None, StoreUnavailable]:
         """Write where a VM is."""
+        return await self._answer(self._register(record), 0)
+
+    async def _register(
+        self, record: VmRecord
+    ) -> Result[None, StoreUnavailable]:
         if not await self._reach():
             return Failure(StoreUnavailable('away'))
         self.shared.put(f'vm/{record.name}', [record.peer, record.zone])
         return Success(None)
 
+    async def _answer(
+        self,
+        call: Awaitable[Result[Any, Any]],
+        wait_s: float,
+    ) -> Result[Any, Any]:
+        """Return the result of `call`, or a timeout if no answer arrives."""
+        loop = asyncio.get_running_loop()
+        give_up_at = loop.time() + wait_s + _CALL_TIMEOUT_S
+        result = await call
+        if self.vm not in self.shared.silent:
+            return result
+        await asyncio.sleep(give_up_at - loop.time())
+        return Failure(StoreUnavailable('timeout'))
+
     async def _reach(self) -> bool:
         self.shared.calls += 1
         await asyncio.sleep(0.004)
--- a/tests/unit/test_replication.py
+++ b/tests/unit/test_replication.py
@@ -615,6 +615,40 @@
     _run(48, check, seed)
 
 
+@pytest.mark.parametrize('seed', [1, 2, 3, 4])
+@pytest.mark.parametrize('silent_share', [0, 0.35])
+def test_changes_are_in_force_in_time_while_the_watches_of_all_readers_hang(
+    seed: int,
+    silent_share: float,
+) -> None:
+    """Load pattern: the store answers other VMs, and these readers no more."""
+    late: list[tuple[VmName, int, int]] = []
+
+    async def collect_late(fleet: ReplicaFleet, version: int) -> None:
+        await asyncio.sleep(IN_FORCE_S)
+        late.extend(
+            (vm.name, vm.version, version)
+            for vm in fleet.vms
+            if vm.version < version
+        )
+
+    async def check(fleet: ReplicaFleet) -> None:
+        random = Random(seed)
+        await asyncio.sleep(random.random())
+        silent = [vm for vm in fleet.vms if vm.replication._is_reader()]
+        silent += random.sample(fleet.vms, int(silent_share * len(fleet.vms)))
+        fleet.store.silent = {vm.name for vm in silent}
+        checks = []
+        for version in range(2, 14):
+            await asyncio.sleep(random.uniform(0.2, 0.9))
+            fleet.store.put('config', version)
+            checks.append(asyncio.create_task(collect_late(fleet, version)))
+        await asyncio.gather(*checks)
+        assert not late
+
+    _run(48, check, seed)
+
+
 def test_vms_that_are_behind_but_hear_pushes_do_not_read_the_store():
     """Load pattern: pushes arrive, and pulls of what they announce do not."""
 
