Notice within a second that the watches of all readers hang

Callers got 404 on routes that a version added which had been acknowledged 2.07 s before (bound 2.0 s), on VMs that had not lost the store.

Cause: the store stopped answering the readers of all zones and went on answering other VMs.

--- a/teaselquay/fleet/_replication.py
+++ b/teaselquay/fleet/_replication.py
@@ -47,9 +47,22 @@
     parse_delta,
 )
 
-#: Long-poll timeout of a watch on the store, in seconds. Its answer bounds the
-#: age of the state, so the timeout is well below the tolerated staleness.
-_WATCH_TIMEOUT_S = 2.0
+#: Longest long-poll timeout of a watch on the store, in seconds. Its answer
+#: bounds the age of the state, so it is well below the tolerated staleness.
+_MAX_WATCH_TIMEOUT_S = 2.0
+#: Time in seconds after which some reader's watch ends. A watch that hangs
+#: looks like a quiet one until then, and a change must be in force before two
+#: of these and the delays below have passed.
+_WATCH_END_PERIOD_S = 0.8
+#: Shorter watches are prolonged to the next end.
+_MIN_WATCH_TIMEOUT_S = 0.02
+#: Time in seconds after which an answer of the store is overdue, in addition to
+#: the timeout of a watch: many times its response time on a slow day. Other VMs
+#: then read instead, while this one keeps waiting.
+_OVERDUE_S = 0.4
+#: Minimum time in seconds between takeovers that follow the loss of a reader at
+#: once. If the store refuses all VMs, they do not try it all together.
+_TAKEOVER_PACE_S = 0.3
 _PULL_PERIOD_S = 0.5
 _PULL_TIMEOUT_S = 0.3
 #: Time in seconds after which the next source is asked too: many round trips
@@ -105,6 +118,8 @@
     _evidence: StoreEvidence = field(default_factory=StoreEvidence)
     _is_store_lost: bool = False
     _was_reader: bool = False
+    _is_watching: bool = False
+    _took_over_at: Instant = _NEVER
     _is_registered: bool = False
     _pull_round: int = 0
     _is_catching_up: bool = False
@@ -142,12 +157,37 @@
         return self.clock.now() - self.fresh_at
 
     async def watch_while_reader(self) -> None:
-        """Watch the store while this VM is a reader and the store answers."""
-        if not self._is_registered:
-            await self._bootstrap()
-        is_connected = True
-        while is_connected and self._is_reader():
-            is_connected = await self._read_changes(_WATCH_TIMEOUT_S)
+        """Watch the store while this VM is a reader and the store answers.
+
+        The first read does not wait for changes, so that a store that is
+        silent is noticed sooner.
+        """
+        if self._is_watching:
+            return
+        self._is_watching = True
+        try:
+            if not self._is_registered:
+                await self._bootstrap()
+            wait_s = 0.0
+            while self._is_reader() and await self._read_changes(wait_s):
+                wait_s = self._watch_timeout_s()
+        finally:
+            self._is_watching = False
+
+    def _watch_timeout_s(self) -> float:
+        """Return the time in seconds until the next end of this zone's watch.
+
+        Load pattern: the store stops answering all readers at the same time.
+        The watches of the zones end by turns, so that one of them is soon
+        found to hang, whenever the last change was.
+        """
+        zones = self.directory.zones()
+        period_s = min(_MAX_WATCH_TIMEOUT_S, _WATCH_END_PERIOD_S * len(zones))
+        turn = zones.index(self.record.zone) / len(zones)
+        left_s = (turn * period_s - self.clock.wall()) % period_s
+        if left_s < _MIN_WATCH_TIMEOUT_S:
+            return left_s + period_s
+        return left_s
 
     async def pull_once(self) -> None:
         """Pull from a reader, or read the store if no peer answers.
@@ -189,7 +229,11 @@
         if not self.replica.revision:
             return await self._read_all()
         started_at = self.clock.now()
-        read = await self.store.changes(self.replica.revision, wait_s)
+        call = self._spawn(self.store.changes(self.replica.revision, wait_s))
+        await asyncio.wait({call}, timeout=wait_s + _OVERDUE_S)
+        if not call.done():
+            self._store_failed('overdue')
+        read = await call
         if isinstance(read, Success):
             waited_s = self.clock.now() - started_at
             # The answer proves that the state was current shortly before it
@@ -255,14 +299,34 @@
         return self._evidence.stable_s(self.clock.now())
 
     def _store_failed(self, reason: str) -> None:
+        """Record that the store did not answer, and tell the other VMs.
+
+        They would otherwise learn of it from the silence of this VM.
+        """
+        is_zone_reader = self._is_zone_reader()
         self.directory.record_store_failure(self.record.name, self.clock.now())
-        if not self._is_store_lost:
-            self._is_store_lost = True
-            self.journal.emit(
-                Event.STORE_LOST,
-                reason=reason,
-                revision=self.replica.revision,
-            )
+        if self._is_store_lost:
+            return
+        self._is_store_lost = True
+        self.journal.emit(
+            Event.STORE_LOST,
+            reason=reason,
+            revision=self.replica.revision,
+        )
+        if is_zone_reader:
+            self._broadcaster.broadcast_freshness(self.replica.revision)
+
+    def _take_over(self) -> None:
+        """Read the store now if the loss of a reader makes this VM one.
+
+        Load pattern: the store refuses all VMs. Only the first successor acts
+        at once, further ones with their timers.
+        """
+        now = self.clock.now()
+        is_paced = now - self._took_over_at >= _TAKEOVER_PACE_S
+        self._took_over_at = now
+        if is_paced and not self._was_reader and self._is_zone_reader():
+            self._spawn(self.watch_while_reader())
 
     def _is_reader(self) -> bool:
         is_alone = self._is_alone()
@@ -483,6 +547,8 @@
             self._broadcaster.relay(question.body)
         if not question.body.isRelayed:
             self._record_store_access(question.sender, question.body)
+            if question.body.isStoreLost:
+                self._take_over()
         origin = Origin(ChangeSource.PUSHED, question.sender)
         is_behind = self._apply_update(question.body, now, origin)
         if not question.body.isStoreLost:
