--- a/tests/support/gateway_mutations.py
+++ b/tests/support/gateway_mutations.py
@@ -204,6 +204,14 @@
         'False',
         'test_readers_that_the_store_refuses_are_replaced',
     ),
+    Mutation(
+        'unit/test_replication.py',
+        'a watch that hangs counts as a loss of the store',
+        'fleet/_replication.py',
+        "self._store_failed('overdue')",
+        'pass',
+        'test_changes_are_in_force_in_time_while_the_watches_of_all_readers_hang',
+    ),
     Mutation(
         'unit/test_replication.py',
         'what a whole read lacks is removed',
