Follow the store after it was restored from a copy

Cause: revisions of two histories were compared.

Change: a revision is a position in both: the era, as the header Store-Era names it, above the number within the era. It is kept wherever revisions are compared, sent or kept. Messages carry eras in fields of their own, so that older builds read them as before. An answer of an earlier era, or a read that spans two, is rejected. A peer of an earlier era is no source: what it sends is no evidence of anything current, and another VM reads for its zone. A VM that a peer has brought to the new era does not read everything itself.

Without the header all revisions are of one era, as before.

Two mutations are added.

--- a/teaselquay/events/_registry.py
+++ b/teaselquay/events/_registry.py
@@ -16,6 +16,7 @@
     STORE_REGAINED = 'store.regained'
     READER_CHANGED = 'store.reader-changed'
     HISTORY_LOST = 'store.history-lost'
+    STORE_RESTORED = 'store.restored'
     ENTRY_REJECTED = 'store.entry-rejected'
     CHANGES_TOLD = 'changes.told'
     CONFIGURATION_APPLIED = 'configuration.applied'
--- a/teaselquay/fleet/_replication.py
+++ b/teaselquay/fleet/_replication.py
@@ -17,10 +17,14 @@
 from teaselquay.decisions import (
     Delta,
     Entry,
+    Era,
     Instant,
     Replica,
     Revision,
     VmName,
+    era_of,
+    number_of,
+    revision_at,
 )
 from teaselquay.events import Event, Journal
 from teaselquay.fleet._directory import Directory
@@ -244,7 +248,14 @@
             return True
         error = read.failure()
         if isinstance(error, HistoryLost):
-            self.journal.emit(Event.HISTORY_LOST, since=error.since)
+            if self._era() > era_of(error.since):
+                # A peer has sent what this VM would read.
+                return True
+            self.journal.emit(
+                Event.HISTORY_LOST,
+                since=number_of(error.since),
+                era=era_of(error.since),
+            )
             return await self._read_all()
         self._store_failed(error.reason)
         return False
@@ -277,19 +288,38 @@
         changed = self.replica.merge(delta)
         if not changed and before:
             return
+        if before and self._era() > era_of(before):
+            self.journal.emit(
+                Event.STORE_RESTORED,
+                **self._position(),
+                replaced_era=era_of(before),
+                replaced_revision=number_of(before),
+                source=origin.source.value,
+                sender=origin.sender,
+            )
         now = self.clock.now()
         self.state.apply(changed, now, self._stable_s(), origin)
         self.directory.replace_records(self.state.vms_by_name.values(), now)
         if before and self._is_zone_reader():
             self._broadcaster.broadcast_changes(before)
 
+    def _era(self) -> Era:
+        return era_of(self.replica.revision)
+
+    def _position(self) -> dict[str, int]:
+        """Return the revision of the replica as fields of a log line."""
+        return {
+            'era': self._era(),
+            'revision': number_of(self.replica.revision),
+        }
+
     def _store_answered(self, current_at: Instant) -> None:
         self._evidence.add_answer(self.clock.now())
         if self._is_store_lost:
             self._is_store_lost = False
             self.journal.emit(
                 Event.STORE_REGAINED,
-                revision=self.replica.revision,
+                **self._position(),
             )
         self.fresh_at = max(self.fresh_at, current_at)
         self.directory.last_contact = self.clock.now()
@@ -311,7 +341,7 @@
         self.journal.emit(
             Event.STORE_LOST,
             reason=reason,
-            revision=self.replica.revision,
+            **self._position(),
         )
         if is_zone_reader:
             self._broadcaster.broadcast_freshness(self.replica.revision)
@@ -338,7 +368,7 @@
                 Event.READER_CHANGED,
                 is_reader=is_reader,
                 is_alone=is_alone,
-                revision=self.replica.revision,
+                **self._position(),
             )
         return is_reader
 
@@ -454,7 +484,7 @@
         """
         sent_at = self.clock.now()
         fields = {
-            'revision': self.replica.revision,
+            **self._position(),
             'wantsWhole': self._needs_whole_values,
         }
         self._needs_whole_values = False
@@ -469,7 +499,7 @@
             # The next entry does not fit into a datagram.
             await self._read_changes(0)
             is_behind = False
-        return is_behind, pulled.isStoreLost
+        return is_behind, pulled.isStoreLost or self._is_outdated(pulled)
 
     def _apply_update(
         self,
@@ -478,6 +508,8 @@
         origin: Origin,
     ) -> bool:
         """Apply an update from a peer; return whether more is outstanding."""
+        if self._is_outdated(update):
+            return False
         self._add_peer_evidence(update, as_of)
         try:
             delta = parse_delta(update, self.replica)
@@ -486,12 +518,21 @@
             self._needs_whole_values = True
             return True
         self._merge(delta, origin)
-        is_behind = self.replica.revision < update.revision
+        upto = revision_at(update.era, update.revision)
+        is_behind = self.replica.revision < upto
         if not is_behind and update.storeAgeMs != _AGE_UNKNOWN_MS:
             age_s = update.storeAgeMs / _MS_PER_S
             self.fresh_at = max(self.fresh_at, Instant(as_of - age_s))
         return is_behind
 
+    def _is_outdated(self, update: Any) -> bool:
+        """Return whether the sender of `update` missed a restore of the store.
+
+        What it sends is no evidence of anything that is current. Older builds
+        send no era, and are outdated as soon as the store names one.
+        """
+        return bool(update.era < self._era())
+
     def _add_peer_evidence(self, update: Any, as_of: Instant) -> None:
         """Add the span of time in which the store answered the peer."""
         if update.storeAgeMs == _AGE_UNKNOWN_MS:
@@ -503,14 +544,14 @@
 
     def _record_store_access(self, sender: VmName, update: Any) -> None:
         """Record whether `sender` of `update` can read the store."""
-        if update.isStoreLost:
+        if update.isStoreLost or self._is_outdated(update):
             self.directory.record_store_failure(sender, self.clock.now())
         else:
             self.directory.record_store_success(sender)
 
     def _on_pull(self, question: Question) -> Answer:
         self.directory.record_contact(question.sender, self.clock.now())
-        since = Revision(question.body.revision)
+        since = revision_at(question.body.era, question.body.revision)
         wants_whole = question.body.wantsWhole
         fields = self._update_fields(since, with_patches=not wants_whole)
         return Answer('pulled', fields)
@@ -533,7 +574,7 @@
             fields = delta_fields(self.replica, empty, with_patches)
         return {
             **fields,
-            'revision': self.replica.revision,
+            **self._position(),
             'storeAgeMs': _to_ms(now - self.fresh_at),
             'storeSettledMs': _to_ms(self._stable_s()),
             'isStoreLost': self._is_store_lost,
@@ -550,12 +591,13 @@
             if question.body.isStoreLost:
                 self._take_over()
         origin = Origin(ChangeSource.PUSHED, question.sender)
+        is_stale = question.body.isStoreLost or self._is_outdated(question.body)
         is_behind = self._apply_update(question.body, now, origin)
-        if not question.body.isStoreLost:
+        if not is_stale:
             self._heard_at = now
             self._failed_pulls = 0
         if not is_behind:
-            if not question.body.isStoreLost:
+            if not is_stale:
                 self._pushed_at = now
             return
         address = self.directory.address(question.sender)
--- a/teaselquay/fleet/_spreading.py
+++ b/teaselquay/fleet/_spreading.py
@@ -7,7 +7,7 @@
 from typing import Any, Callable, Coroutine, Sequence
 
 from teaselquay.configuration import VmRecord
-from teaselquay.decisions import Revision, VmName
+from teaselquay.decisions import Revision, VmName, number_of
 from teaselquay.events import Event, Journal
 from teaselquay.fleet._directory import Directory
 from teaselquay.shells import Clock, PeerLink, fields_bytes
@@ -82,8 +82,9 @@
         sent_bytes = await self._send_paced(groups, fields)
         self.journal.emit(
             Event.CHANGES_TOLD,
-            since=since,
+            since=number_of(since),
             upto=fields['upto'],
+            era=fields['uptoEra'],
             vms=sum(map(len, groups)),
             datagrams=len(groups),
             sent_bytes=sent_bytes,
@@ -161,16 +162,21 @@
             'key': entry.key,
             'value': bytes(entry.value),
             'revision': entry.revision,
+            'era': entry.era,
             'base': entry.base,
+            'baseEra': entry.baseEra,
             'isPacked': entry.isPacked,
         }
         for entry in body.entries
     ]
     return {
         'since': body.since,
+        'sinceEra': body.sinceEra,
         'upto': body.upto,
+        'uptoEra': body.uptoEra,
         'entries': entries,
         'revision': body.revision,
+        'era': body.era,
         'storeAgeMs': body.storeAgeMs,
         'storeSettledMs': body.storeSettledMs,
         'isStoreLost': body.isStoreLost,
--- a/teaselquay/fleet/_state.py
+++ b/teaselquay/fleet/_state.py
@@ -18,6 +18,8 @@
     ServiceName,
     UpstreamName,
     VmName,
+    era_of,
+    number_of,
 )
 from teaselquay.events import Event, Journal
 
@@ -149,7 +151,7 @@
             self.journal.emit(
                 Event.ENTRY_REJECTED,
                 key=entry.key,
-                revision=entry.revision,
+                revision=number_of(entry.revision),
                 reason=str(error),
             )
             name = self.decoder.upstream_of(entry.key)
@@ -175,7 +177,8 @@
             Event.CONFIGURATION_APPLIED,
             version=configuration.version,
             replaced=previous,
-            revision=entry.revision,
+            era=era_of(entry.revision),
+            revision=number_of(entry.revision),
             routes=len(configuration.routes_by_name),
             teams=len(configuration.teams_by_name),
             source=origin.source.value,
@@ -193,7 +196,7 @@
                 service=record.service,
                 address=record.address,
                 state=record.state.value,
-                revision=entry.revision,
+                revision=number_of(entry.revision),
             )
 
     def _is_upstream(self, key: str) -> bool:
--- a/teaselquay/shells/_deltas.py
+++ b/teaselquay/shells/_deltas.py
@@ -9,7 +9,16 @@
 
 import zstandard
 
-from teaselquay.decisions import Delta, Entry, Replica, Revision
+from teaselquay.decisions import (
+    NO_REVISION,
+    Delta,
+    Entry,
+    Replica,
+    Revision,
+    era_of,
+    number_of,
+    revision_at,
+)
 
 #: Shorter values, which most entries of a fleet have, are sent uncompressed.
 _MIN_COMPRESSED_VALUE_BYTES = 1024
@@ -39,7 +48,13 @@
         if with_patches:
             base = replica.entry_as_of(entry.key, delta.since)
         entries.append(_entry_fields(entry, base))
-    return {'since': delta.since, 'upto': delta.upto, 'entries': entries}
+    return {
+        'since': number_of(delta.since),
+        'sinceEra': era_of(delta.since),
+        'upto': number_of(delta.upto),
+        'uptoEra': era_of(delta.upto),
+        'entries': entries,
+    }
 
 
 def fields_bytes(fields: dict[str, Any]) -> int:
@@ -56,10 +71,11 @@
 
     Raises:
         MissingBaseError: the base value of a patch is missing here.
-        ValueError: a value cannot be decompressed or is too long.
+        ValueError: a value cannot be decompressed or is too long, or a
+            revision is out of range.
     """
-    since = Revision(pulled.since)
-    upto = Revision(pulled.upto)
+    since = revision_at(pulled.sinceEra, pulled.since)
+    upto = revision_at(pulled.uptoEra, pulled.upto)
     if since > replica.revision or upto <= replica.revision:
         return Delta(since, upto)
     entries = tuple(
@@ -74,34 +90,42 @@
     fields = {
         'key': entry.key,
         'value': entry.value,
-        'revision': entry.revision,
+        'revision': number_of(entry.revision),
+        'era': era_of(entry.revision),
     }
     if len(entry.value) < _MIN_COMPRESSED_VALUE_BYTES:
         return fields
     base_value = base.value if base else b''
     fields['value'] = _compress(entry.value, base_value)
     fields['isPacked'] = True
-    fields['base'] = base.revision if base else 0
+    base_revision = base.revision if base else NO_REVISION
+    fields['base'] = number_of(base_revision)
+    fields['baseEra'] = era_of(base_revision)
     return fields
 
 
 def _is_newer(item: Any, replica: Replica) -> bool:
     known = replica.get(item.key)
-    return known is None or known.revision < item.revision
+    return known is None or known.revision < _revision_of(item)
+
+
+def _revision_of(item: Any) -> Revision:
+    return revision_at(item.era, item.revision)
 
 
 def _parse_entry(item: Any, replica: Replica) -> Entry:
     value = bytes(item.value)
     if item.isPacked:
         value = _decompress(value, _base_value(item, replica))
-    return Entry(item.key, value, Revision(item.revision))
+    return Entry(item.key, value, _revision_of(item))
 
 
 def _base_value(item: Any, replica: Replica) -> bytes:
     if not item.base:
         return b''
-    base = replica.entry_as_of(item.key, Revision(item.base))
-    if base is None or base.revision != item.base:
+    revision = revision_at(item.baseEra, item.base)
+    base = replica.entry_as_of(item.key, revision)
+    if base is None or base.revision != revision:
         raise MissingBaseError(item.key)
     return base.value
 
--- a/teaselquay/shells/_json_client.py
+++ b/teaselquay/shells/_json_client.py
@@ -3,18 +3,26 @@
 import asyncio
 import json
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Sequence
 
-from teaselquay.shells._http import MAX_DOCUMENT_BYTES, HttpConnection
+from teaselquay.shells._http import (
+    MAX_DOCUMENT_BYTES,
+    Header,
+    HttpConnection,
+)
 from teaselquay.shells._peers import Address
 
 
 @dataclass(frozen=True, slots=True)
 class JsonAnswer:
-    """Status and decoded body of an answer; `document` may be None."""
+    """Status, decoded body and header of an answer.
+
+    `document` may be None.
+    """
 
     status: int
     document: Any
+    headers: Sequence[Header] = ()
 
 
 class JsonClient:
@@ -86,5 +94,7 @@
         answer = await connection.read_head()
         response_body = await connection.read_whole_body(MAX_DOCUMENT_BYTES)
         return JsonAnswer(
-            answer.status, json.loads(response_body) if response_body else None
+            answer.status,
+            json.loads(response_body) if response_body else None,
+            answer.headers,
         )
--- a/teaselquay/shells/messages.capnp
+++ b/teaselquay/shells/messages.capnp
@@ -39,6 +39,9 @@
   # or as a whole if `base` is 0.
   base @3 :UInt64;
   isPacked @4 :Bool;
+  # Eras of `revision` and `base`.
+  era @5 :UInt32;
+  baseEra @6 :UInt32;
 }
 
 # Requests the entries after `revision` and evidence of freshness.
@@ -47,6 +50,7 @@
   wantsAges @1 :Bool;
   # The sender lacks the base of a patch and needs whole values.
   wantsWhole @2 :Bool;
+  era @3 :UInt32;
 }
 
 # Answer to `pull`. VMs that read the store also send it without a request,
@@ -69,6 +73,10 @@
   relays @10 :List(Text);
   # The message was forwarded, so that it says nothing about its sender.
   isRelayed @11 :Bool;
+  # Eras of `since`, `upto` and `revision`.
+  sinceEra @12 :UInt32;
+  uptoEra @13 :UInt32;
+  era @14 :UInt32;
 }
 
 struct Need {
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -7,7 +7,7 @@
 from returns.result import Failure, Success
 
 from teaselquay.configuration import VmRecord
-from teaselquay.decisions import Revision, VmName, ZoneName
+from teaselquay.decisions import Delta, Revision, VmName, ZoneName
 from teaselquay.fleet import HistoryLost
 from teaselquay.platform import PlatformDecoder, PlatformStore
 from teaselquay.shells import Address, StoreUnavailable
@@ -103,3 +103,86 @@
         assert PlatformDecoder().decode(entry) == record
 
     _run(check)
+
+
+def test_watch_notices_a_restore_whose_revisions_have_passed_it():
+    async def check(
+        standin: PlatformStoreStandIn,
+        store: PlatformStore,
+    ) -> None:
+        standin.era = 1
+        await standin.put('a', b'1')
+        copied, revision = dict(standin.items), standin.revision
+        await standin.put('a', b'2')
+        since = (await store.read_all()).unwrap().upto
+        standin.restore(copied, revision)
+        for number in range(5):
+            await standin.put(f'key-{number}', b'new')
+        assert await store.changes(since, 0) == Failure(HistoryLost(since))
+        whole = (await store.read_all()).unwrap()
+        assert whole.upto > since
+        assert all(entry.revision > since for entry in whole.entries)
+        changes = (await store.changes(whole.upto, 0)).unwrap()
+        assert changes == Delta(whole.upto, whole.upto)
+
+    _run(check)
+
+
+def test_store_without_eras_is_read_as_one_history():
+    async def check(
+        standin: PlatformStoreStandIn,
+        store: PlatformStore,
+    ) -> None:
+        since = Revision(await standin.put('a', b'1'))
+        await standin.put('a', b'2')
+        changes = (await store.changes(since, 0)).unwrap()
+        assert changes.upto == standin.revision
+
+    _run(check)
+
+
+def test_answer_of_an_earlier_era_is_rejected():
+    async def check(
+        standin: PlatformStoreStandIn,
+        store: PlatformStore,
+    ) -> None:
+        standin.era = 2
+        since = (await store.read_all()).unwrap().upto
+        standin.era = 1
+        assert isinstance(await store.read_all(), Failure)
+        assert isinstance(await store.changes(since, 0), Failure)
+        standin.era = 3
+        assert (await store.read_all()).unwrap().upto > since
+
+    _run(check)
+
+
+def test_restore_between_pages_of_a_read_fails_it():
+    async def check(
+        standin: PlatformStoreStandIn,
+        store: PlatformStore,
+    ) -> None:
+        for number in range(8):
+            await standin.put(f'key-{number}', b'%d' % number)
+        standin.era = 1
+        read = asyncio.create_task(store.read_all())
+        while not standin.calls:
+            await asyncio.sleep(0)
+        standin.era = 2
+        result = await read
+        assert isinstance(result, Failure)
+        assert 'restored' in result.failure().reason
+
+    _run(check)
+
+
+@pytest.mark.parametrize('era', [-1, 1 << 40])
+def test_malformed_era_makes_the_store_unavailable(era: int):
+    async def check(
+        standin: PlatformStoreStandIn,
+        store: PlatformStore,
+    ) -> None:
+        standin.era = era
+        assert isinstance(await store.read_all(), Failure)
+
+    _run(check)
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -24,6 +24,8 @@
     items: dict[str, dict[str, Any]] = field(default_factory=dict)
     events: list[dict[str, Any]] = field(default_factory=list)
     compacted: int = 0
+    #: Number of restores, sent with all answers unless it is None.
+    era: int | None = None
     answers: list[int] = field(default_factory=list)
     calls: list[str] = field(default_factory=list)
     _changed: asyncio.Condition = field(default_factory=asyncio.Condition)
@@ -49,6 +51,13 @@
         await self._tell({'key': key, 'rev': self.revision, 'deleted': True})
         return self.revision
 
+    def restore(self, copy: dict[str, dict[str, Any]], revision: int) -> None:
+        """Come back from `copy`, which was taken at `revision`."""
+        self.items = dict(copy)
+        self.revision = revision
+        self.events = [item for item in self.events if item['rev'] <= revision]
+        self.era = (self.era or 0) + 1
+
     async def _tell(self, event: dict[str, Any]) -> None:
         self.events.append(event)
         async with self._changed:
@@ -92,9 +101,10 @@
             writer.transport.abort()
             raise ConnectionError
         text = b'' if document is None else json.dumps(document).encode()
+        era = b'' if self.era is None else b'Store-Era: %d\r\n' % self.era
         writer.write(
-            b'HTTP/1.1 %d X\r\ncontent-length: %d\r\n\r\n%b'
-            % (status, len(text), text),
+            b'HTTP/1.1 %d X\r\n%bcontent-length: %d\r\n\r\n%b'
+            % (status, era, len(text), text),
         )
 
     async def _perform(
@@ -128,7 +138,7 @@
 
     async def _watch(self, query: dict[str, str]) -> tuple[int, Any]:
         after = int(query['after'])
-        if after < self.compacted:
+        if after < self.compacted or after > self.revision:
             return 410, None
         wait_s = int(query['wait-ms']) / 1000
         try:
--- a/tests/support/gateway_mutations.py
+++ b/tests/support/gateway_mutations.py
@@ -210,7 +210,24 @@
         'fleet/_replication.py',
         "self._store_failed('overdue')",
         'pass',
-        'test_changes_are_in_force_in_time_while_the_watches_of_all_readers_hang',
+        'test_changes_are_in_force_in_time_'
+        'while_the_watches_of_all_readers_hang',
+    ),
+    Mutation(
+        'unit/test_replication.py',
+        'revisions of a later era are newer',
+        'decisions/_ids.py',
+        'return Revision((era << _NUMBER_BITS) + number)',
+        'return Revision(number)',
+        'test_restored_store_is_followed',
+    ),
+    Mutation(
+        'platform/test_store.py',
+        'a watch of an earlier era gets no changes of a later one',
+        'platform/_store.py',
+        'is_restored = era_of(since) < self._era',
+        'is_restored = False',
+        'test_watch_notices_a_restore_whose_revisions_have_passed_it',
     ),
     Mutation(
         'unit/test_replication.py',
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -30,6 +30,9 @@
     VmName,
     WallTime,
     ZoneName,
+    era_of,
+    number_of,
+    revision_at,
 )
 from teaselquay.events import Journal
 from teaselquay.fleet import (
@@ -101,9 +104,11 @@
 class FakeSharedStore:
     """A store whose changes can be watched.
 
-    It refuses the VMs in `away` and does not answer those in `silent`.
+    It refuses the VMs in `away` and does not answer those in `silent`. `era`
+    is the number of times that it was restored from a copy.
     """
 
+    era: int = 1
     revision: int = 1
     entries: dict[str, Entry] = field(default_factory=dict)
     log: list[Entry] = field(default_factory=list)
@@ -118,9 +123,32 @@
         """Write an entry, or remove it with None."""
         self.revision += 1
         value = b'' if document is None else json.dumps(document).encode()
-        entry = Entry(key, value, Revision(self.revision))
+        entry = Entry(key, value, revision_at(self.era, self.revision))
         self.entries[key] = entry
         self.log.append(entry)
+        self._notify()
+
+    def copy(self) -> tuple[int, dict[str, Entry]]:
+        """Return a copy from which the store can be restored."""
+        return self.revision, dict(self.entries)
+
+    def restore(self, copied: tuple[int, dict[str, Entry]]) -> None:
+        """Lose what was written since `copied`, and end all watches."""
+        self.era += 1
+        self.revision, entries = copied
+        self.entries = {
+            key: Entry(
+                key,
+                entry.value,
+                revision_at(self.era, number_of(entry.revision)),
+            )
+            for key, entry in entries.items()
+        }
+        self.log = []
+        self.compacted = self.revision
+        self._notify()
+
+    def _notify(self) -> None:
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -141,7 +169,7 @@
         if not await self._reach():
             return Failure(StoreUnavailable('away'))
         found = [item for item in self.shared.entries.values() if item.value]
-        upto = Revision(self.shared.revision)
+        upto = revision_at(self.shared.era, self.shared.revision)
         return Success(Delta(Revision(0), upto, tuple(found)))
 
     async def changes(
@@ -159,19 +187,26 @@
     ) -> Result[Delta, StoreUnavailable | HistoryLost]:
         if not await self._reach():
             return Failure(StoreUnavailable('away'))
-        if since < self.shared.compacted:
+        if self._has_lost(since):
             return Failure(HistoryLost(since))
-        if self.shared.revision <= since:
+        if self.shared.revision <= number_of(since):
             try:
                 async with asyncio.timeout(wait_s):
                     await self.shared.changed.wait()
             except TimeoutError:
                 if not self._is_reachable():
                     return Failure(StoreUnavailable('timeout'))
+        if self._has_lost(since):
+            return Failure(HistoryLost(since))
         found = [item for item in self.shared.log if item.revision > since]
-        upto = Revision(max(since, self.shared.revision))
+        upto = revision_at(self.shared.era, self.shared.revision)
         return Success(Delta(since, upto, tuple(found)))
 
+    def _has_lost(self, since: Revision) -> bool:
+        """Return whether the history after `since` is gone."""
+        is_restored = era_of(since) < self.shared.era
+        return is_restored or number_of(since) < self.shared.compacted
+
     async def register(
         self, record: VmRecord
     ) -> Result[None, StoreUnavailable]:
--- a/tests/unit/test_deltas.py
+++ b/tests/unit/test_deltas.py
@@ -14,7 +14,7 @@
     parse_delta,
 )
 
-_UNCOMPRESSED = {'base': 0, 'isPacked': False}
+_UNCOMPRESSED = {'base': 0, 'baseEra': 0, 'isPacked': False}
 
 
 def _replica(*values: bytes) -> Replica:
--- a/tests/unit/test_replication.py
+++ b/tests/unit/test_replication.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 from random import Random
-from typing import Awaitable, Callable
+from typing import Awaitable, Callable, Mapping
 
 import pytest
 
@@ -13,6 +13,7 @@
     RepeatPolicy,
 )
 from teaselquay.decisions import (
+    Entry,
     Replica,
     ServiceName,
     TeamName,
@@ -665,3 +666,39 @@
         assert fleet.store.calls - calls_before <= by_readers
 
     _run(24, check)
+
+
+@pytest.mark.parametrize('writes', [0, 40])
+def test_restored_store_is_followed(writes: int) -> None:
+    """The store returns from a copy, and gives out its revisions again.
+
+    After more writes than were lost, a watch from the revision before the
+    restore succeeds and lacks what was written below it.
+    """
+
+    async def check(fleet: ReplicaFleet) -> None:
+        copied = fleet.store.copy()
+        for version in range(2, 20):
+            fleet.store.put('config', version)
+        await asyncio.sleep(1)
+        fleet.store.is_down = True
+        await asyncio.sleep(1)
+        fleet.store.restore(copied)
+        fleet.store.put('config', 20)
+        fleet.store.put('up/one', None)
+        for number in range(writes):
+            fleet.store.put(f'up/up-{number}', 'ready')
+        fleet.store.is_down = False
+        await asyncio.sleep(STABLE_WINDOW_S + IN_FORCE_S)
+        stored = fleet.store.entries
+        for vm in fleet.vms:
+            assert vm.version == 20
+            assert len(vm.state.upstreams_by_name) == writes
+            held = vm.replication.replica.by_key
+            assert _without_removed(held) == _without_removed(stored)
+
+    _run(24, check)
+
+
+def _without_removed(by_key: Mapping[str, Entry]) -> dict[str, Entry]:
+    return {key: entry for key, entry in by_key.items() if entry.value}
