Keep what is in force when a restored store holds an older copy of it

Versions went back until the operators wrote theirs again, and upstreams that had left in the lost seconds were used again until their entries lapsed.

Cause: the store's word was taken for newer because it was read later.

Change: for a minute after a restore, content decides. A configuration of a lower version than the one in force, an upstream's entry with an earlier start or a lower sequence than the known one, and one of an upstream that left which has written nothing since, are put aside (store.entry-overruled). A newer write of the same key replaces what was put aside; what was never written again is applied at the end of the minute, so that nothing binds forever. The same version with other content is applied. Upstreams that left are remembered for five minutes, 10,000 at most.

Not covered: a VM that starts between the restore and the next write knows only the copy. A restarted upstream that does not name its start (born) looks older until the minute ends.

Tests failed before (guard switched off): versions 3 to 1, an upstream that left used again (removed, and draining), and one of eight random schedules of writes, restores, silence and partitions in which no VM may go back and all end with the store's content.

--- a/teaselquay/configuration/_model.py
+++ b/teaselquay/configuration/_model.py
@@ -120,7 +120,8 @@
 
     `started_ms` is the Unix time of its start in milliseconds, which
     distinguishes runs under one name. `warmup_left_s` is the remaining
-    warm-up time in seconds, during which it is slow.
+    warm-up time in seconds, during which it is slow. `sequence` counts the
+    writes of one run; records that differ in nothing else are equal.
     """
 
     name: UpstreamName
@@ -131,6 +132,7 @@
     state: UpstreamState
     started_ms: int = 0
     warmup_left_s: float = 0.0
+    sequence: int = field(default=0, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/teaselquay/events/_registry.py
+++ b/teaselquay/events/_registry.py
@@ -17,6 +17,7 @@
     READER_CHANGED = 'store.reader-changed'
     HISTORY_LOST = 'store.history-lost'
     STORE_RESTORED = 'store.restored'
+    ENTRY_OVERRULED = 'store.entry-overruled'
     ENTRY_REJECTED = 'store.entry-rejected'
     CHANGES_TOLD = 'changes.told'
     CONFIGURATION_APPLIED = 'configuration.applied'
--- a/teaselquay/fleet/_state.py
+++ b/teaselquay/fleet/_state.py
@@ -22,6 +22,7 @@
     number_of,
 )
 from teaselquay.events import Event, Journal
+from teaselquay.fleet._restores import RestoreGuard
 
 #: Time in seconds after a store outage in which missing upstreams are retained.
 #: According to the platform, entries that expired during an outage are restored
@@ -87,6 +88,9 @@
     _usable_by_service: dict[ServiceName, tuple[UpstreamRecord, ...]] = field(
         default_factory=dict,
     )
+    #: Entries that are older than what is in force, by key.
+    _overruled_by_key: dict[str, Entry] = field(default_factory=dict)
+    _restores: RestoreGuard = field(default_factory=RestoreGuard)
     _retained_until: dict[UpstreamName, Instant] = field(default_factory=dict)
     _listeners: list[Listener] = field(default_factory=list)
 
@@ -115,24 +119,31 @@
         `store_stable_s` is the time in seconds for which the store has
         answered without interruption. An upstream that is missing shortly
         after an outage is retained for a grace period, as its entry may be
-        restored.
+        restored. After a restore of the store from a copy, content that is
+        older than what is in force does not replace it for a time.
         """
+        entries = tuple(entries)
+        self._restores.observe(entries, now)
         grace_s = _RESTORE_GRACE_S - store_stable_s
         for entry in entries:
+            self._overruled_by_key.pop(entry.key, None)
             if entry.value:
-                self._put(entry, origin)
+                self._put(entry, now, origin)
             elif grace_s > 0 and self._is_upstream(entry.key):
                 self._retain(entry.key, Instant(now + grace_s))
             else:
-                self._remove(entry.key)
+                self._remove(entry.key, now)
         self._index()
 
     def remove_expired(self, now: Instant, store_stable_s: float) -> None:
         """Remove upstreams whose grace period after an outage has ended.
 
         That is the case for all if the store, as became known since, has
-        answered for `store_stable_s` seconds.
+        answered for `store_stable_s` seconds. Entries that were overruled
+        after a restore, and not written again, are applied.
         """
+        self._restores.forget_departures(now)
+        self._apply_overruled(now)
         is_stable = store_stable_s >= _RESTORE_GRACE_S
         due = [
             name
@@ -140,11 +151,20 @@
             if is_stable or now >= until
         ]
         for name in due:
-            self._remove_upstream(name)
+            self._remove_upstream(name, now)
         if due:
             self._index()
 
-    def _put(self, entry: Entry, origin: Origin) -> None:
+    def _apply_overruled(self, now: Instant) -> None:
+        if not self._overruled_by_key or self._restores.is_active(now):
+            return
+        entries = tuple(self._overruled_by_key.values())
+        self._overruled_by_key.clear()
+        for entry in entries:
+            self._put(entry, now, FROM_STORE)
+        self._index()
+
+    def _put(self, entry: Entry, now: Instant, origin: Origin) -> None:
         try:
             record = self.decoder.decode(entry)
         except EntryError as error:
@@ -156,15 +176,36 @@
             )
             name = self.decoder.upstream_of(entry.key)
             if name is not None:
-                self._remove_upstream(name)
+                self._remove_upstream(name, now)
             return
-        if isinstance(record, FleetConfiguration):
+        if self._is_older(record, now):
+            self._overruled_by_key[entry.key] = entry
+            self.journal.emit(
+                Event.ENTRY_OVERRULED,
+                key=entry.key,
+                era=era_of(entry.revision),
+                revision=number_of(entry.revision),
+            )
+        elif isinstance(record, FleetConfiguration):
             self._put_configuration(record, entry, origin)
         elif isinstance(record, UpstreamRecord):
             self._put_upstream(record, entry)
         elif isinstance(record, VmRecord):
             self.vms_by_name[record.name] = record
 
+    def _is_older(self, record: DecodedEntry | None, now: Instant) -> bool:
+        """Return whether `record` is a copy from before what is in force."""
+        if isinstance(record, FleetConfiguration):
+            return self.table is not None and (
+                self._restores.is_older_configuration(
+                    record, self.table.configuration, now
+                )
+            )
+        if isinstance(record, UpstreamRecord):
+            known = self.upstreams_by_name.get(record.name)
+            return self._restores.is_older_upstream(record, known, now)
+        return False
+
     def _put_configuration(
         self,
         configuration: FleetConfiguration,
@@ -208,17 +249,19 @@
             self._retained_until[name] = until
             self.journal.emit(Event.UPSTREAM_LAPSED, upstream=name)
 
-    def _remove(self, key: str) -> None:
+    def _remove(self, key: str, now: Instant) -> None:
         vm = self.decoder.vm_of(key)
         if vm is not None:
             self.vms_by_name.pop(vm, None)
         name = self.decoder.upstream_of(key)
         if name is not None:
-            self._remove_upstream(name)
+            self._remove_upstream(name, now)
 
-    def _remove_upstream(self, name: UpstreamName) -> None:
+    def _remove_upstream(self, name: UpstreamName, now: Instant) -> None:
         self._retained_until.pop(name, None)
-        if self.upstreams_by_name.pop(name, None) is not None:
+        record = self.upstreams_by_name.pop(name, None)
+        if record is not None:
+            self._restores.record_departure(record, now)
             self.journal.emit(Event.UPSTREAM_REMOVED, upstream=name)
 
     def _index(self) -> None:
--- a/teaselquay/platform/_decoding.py
+++ b/teaselquay/platform/_decoding.py
@@ -119,7 +119,6 @@
     status = document['status']
     address = _str_field(document, 'address')
     Address.parse(address)
-    _int_field(status, 'sequence')
     slots = _int_field(info, 'capacity')
     if slots <= 0:
         raise ValueError(f'expected a positive capacity, not {slots}')
@@ -133,6 +132,7 @@
         state=_UPSTREAM_STATES[_str_field(status, 'state')],
         started_ms=started_ms,
         warmup_left_s=parse_duration(status.get('warmup-left', '0s')),
+        sequence=_int_field(status, 'sequence'),
     )
 
 
--- a/tests/support/gateway_mutations.py
+++ b/tests/support/gateway_mutations.py
@@ -221,6 +221,14 @@
         'return Revision(number)',
         'test_restored_store_is_followed',
     ),
+    Mutation(
+        'unit/test_replication.py',
+        'a copy does not replace newer content',
+        'fleet/_restores.py',
+        'return now - self._restored_at < _GUARD_S',
+        'return False',
+        'test_version_in_force_stays_after_a_restore_until_it_is_written_again',
+    ),
     Mutation(
         'platform/test_store.py',
         'a watch of an earlier era gets no changes of a later one',
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -55,6 +55,10 @@
 _CALL_TIMEOUT_S = 1.0
 
 
+#: Revision and entries of a store.
+StoreCopy = tuple[int, dict[str, Entry]]
+
+
 class PlainDecoder:
     """Reads `config`, `up/NAME` and `vm/NAME`."""
 
@@ -79,13 +83,16 @@
             return FleetConfiguration(version, {}, {}, {team.name: team})
         name = entry.key.partition('/')[2]
         if entry.key.startswith('up/'):
+            is_list = isinstance(document, list)
+            state, sequence = document if is_list else (document, 0)
             return UpstreamRecord(
                 UpstreamName(name),
                 ServiceName('s'),
                 '10.0.0.1:1',
                 ZoneName('a'),
                 6,
-                UpstreamState(document),
+                UpstreamState(state),
+                sequence=sequence,
             )
         return VmRecord(VmName(name), *document)
 
@@ -128,11 +135,11 @@
         self.log.append(entry)
         self._notify()
 
-    def copy(self) -> tuple[int, dict[str, Entry]]:
+    def copy(self) -> StoreCopy:
         """Return a copy from which the store can be restored."""
         return self.revision, dict(self.entries)
 
-    def restore(self, copied: tuple[int, dict[str, Entry]]) -> None:
+    def restore(self, copied: StoreCopy) -> None:
         """Lose what was written since `copied`, and end all watches."""
         self.era += 1
         self.revision, entries = copied
--- a/tests/unit/test_replication.py
+++ b/tests/unit/test_replication.py
@@ -21,7 +21,7 @@
     VmName,
     ZoneName,
 )
-from tests.support.replicas import RATE, ReplicaFleet, ReplicaVm
+from tests.support.replicas import RATE, ReplicaFleet, ReplicaVm, StoreCopy
 from tests.support.virtual import run_virtual
 
 #: Time in seconds within which the users require a configuration to be in
@@ -702,3 +702,128 @@
 
 def _without_removed(by_key: Mapping[str, Entry]) -> dict[str, Entry]:
     return {key: entry for key, entry in by_key.items() if entry.value}
+
+
+def _restore(fleet: ReplicaFleet, copied: StoreCopy) -> None:
+    fleet.store.restore(copied)
+    fleet.lines.clear()
+
+
+def test_version_in_force_stays_after_a_restore_until_it_is_written_again():
+    async def check(fleet: ReplicaFleet) -> None:
+        copied = fleet.store.copy()
+        fleet.store.put('config', 3)
+        await asyncio.sleep(IN_FORCE_S)
+        _restore(fleet, copied)
+        await asyncio.sleep(IN_FORCE_S)
+        assert {vm.version for vm in fleet.vms} == {3}
+        # The operators write all of their versions again.
+        for version in (2, 3, 5):
+            fleet.store.put('config', version)
+            await asyncio.sleep(0.3)
+        await asyncio.sleep(IN_FORCE_S)
+        assert {vm.version for vm in fleet.vms} == {5}
+        applied = [json.loads(line) for line in fleet.lines]
+        versions = {
+            line['version']
+            for line in applied
+            if line['event'] == 'configuration.applied'
+        }
+        assert versions == {3, 5}
+
+    _run(12, check)
+
+
+def test_version_that_is_never_written_again_does_not_bind_forever():
+    async def check(fleet: ReplicaFleet) -> None:
+        copied = fleet.store.copy()
+        fleet.store.put('config', 3)
+        await asyncio.sleep(IN_FORCE_S)
+        _restore(fleet, copied)
+        await asyncio.sleep(50)
+        assert {vm.version for vm in fleet.vms} == {3}
+        await asyncio.sleep(15)
+        assert {vm.version for vm in fleet.vms} == {1}
+
+    _run(12, check)
+
+
+@pytest.mark.parametrize('document', [None, ['draining', 8]])
+def test_upstream_that_left_is_not_used_again_after_a_restore(
+    document: object,
+) -> None:
+    async def check(fleet: ReplicaFleet) -> None:
+        fleet.store.put('up/one', ['ready', 7])
+        await asyncio.sleep(IN_FORCE_S)
+        copied = fleet.store.copy()
+        fleet.store.put('up/one', document)
+        await asyncio.sleep(IN_FORCE_S)
+        _restore(fleet, copied)
+        for _ in range(20):
+            await asyncio.sleep(0.1)
+            assert not any(vm.state.is_usable(UP) for vm in fleet.vms)
+        # An upstream that is still there writes its entry again.
+        fleet.store.put('up/one', ['ready', 9])
+        await asyncio.sleep(IN_FORCE_S)
+        assert all(vm.state.is_usable(UP) for vm in fleet.vms)
+
+    _run(12, check)
+
+
+@pytest.mark.parametrize('seed', range(1, 9))
+def test_no_vm_goes_back_in_any_schedule_of_restores(seed: int) -> None:
+    """Writes, restores, silence of the store and partitions at random.
+
+    In the end every VM holds the content of the store.
+    """
+    random = Random(seed)
+    newest = 1
+    latest_by_vm: dict[VmName, int] = {}
+
+    def check_versions(fleet: ReplicaFleet) -> None:
+        for vm in fleet.vms:
+            assert vm.version >= latest_by_vm.get(vm.name, 0)
+            latest_by_vm[vm.name] = vm.version
+
+    async def disturb(fleet: ReplicaFleet, copied: StoreCopy) -> StoreCopy:
+        nonlocal newest
+        match random.randrange(6):
+            case 0:
+                return fleet.store.copy()
+            case 1:
+                fleet.store.restore(copied)
+                await asyncio.sleep(random.uniform(0, 0.5))
+                fleet.store.put('config', newest)
+            case 2:
+                fleet.isolate(random.choice(fleet.vms))
+            case 3:
+                fleet.network.cuts.clear()
+                fleet.store.silent = set()
+            case 4:
+                chosen = random.sample(fleet.vms, 4)
+                fleet.store.silent = {vm.name for vm in chosen}
+            case _:
+                newest += 1
+                fleet.store.put('config', newest)
+        return copied
+
+    async def check(fleet: ReplicaFleet) -> None:
+        copied = fleet.store.copy()
+        for _ in range(60):
+            copied = await disturb(fleet, copied)
+            for _ in range(random.randrange(8)):
+                await asyncio.sleep(0.1)
+                check_versions(fleet)
+        fleet.network.cuts.clear()
+        fleet.store.silent = set()
+        newest_version = newest + 1
+        fleet.store.put('config', newest_version)
+        await asyncio.sleep(STABLE_WINDOW_S + IN_FORCE_S)
+        check_versions(fleet)
+        stored = _without_removed(fleet.store.entries)
+        for vm in fleet.vms:
+            assert vm.version == newest_version
+            held = vm.replication.replica.by_key
+            assert _without_removed(held) == stored
+
+    _run(12, check, seed)
