Retain upstreams that a restored store does not list yet

Upstreams that had joined in the lost seconds were unusable until they wrote their entries again, up to one heartbeat later.

Cause: missing entries are retained after an outage of the store, counted from its answers. A restore between two answers is no outage to anybody.

Change: the time since the last restore counts like that since an outage, so that what is missing is retained for 2.5 s.

test_upstream_that_joined_after_the_copy_is_retained failed before.

--- a/teaselquay/fleet/_restores.py
+++ b/teaselquay/fleet/_restores.py
@@ -59,6 +59,10 @@
         """Return whether the store was restored a short time ago."""
         return now - self._restored_at < _GUARD_S
 
+    def stable_s(self, store_stable_s: float, now: Instant) -> float:
+        """Return the seconds since the last outage or restore of the store."""
+        return min(store_stable_s, now - self._restored_at)
+
     def record_departure(self, record: UpstreamRecord, now: Instant) -> None:
         """Remember the last `record` of an upstream that left."""
         departures = self._departures_by_name
--- a/teaselquay/fleet/_state.py
+++ b/teaselquay/fleet/_state.py
@@ -118,13 +118,15 @@
 
         `store_stable_s` is the time in seconds for which the store has
         answered without interruption. An upstream that is missing shortly
-        after an outage is retained for a grace period, as its entry may be
-        restored. After a restore of the store from a copy, content that is
-        older than what is in force does not replace it for a time.
+        after an outage, or after a restore of the store from a copy, is
+        retained for a grace period, as its entry may be written again. After a
+        restore, content that is older than what is in force does not replace
+        it for a time.
         """
         entries = tuple(entries)
         self._restores.observe(entries, now)
-        grace_s = _RESTORE_GRACE_S - store_stable_s
+        stable_s = self._restores.stable_s(store_stable_s, now)
+        grace_s = _RESTORE_GRACE_S - stable_s
         for entry in entries:
             self._overruled_by_key.pop(entry.key, None)
             if entry.value:
@@ -144,7 +146,8 @@
         """
         self._restores.forget_departures(now)
         self._apply_overruled(now)
-        is_stable = store_stable_s >= _RESTORE_GRACE_S
+        stable_s = self._restores.stable_s(store_stable_s, now)
+        is_stable = stable_s >= _RESTORE_GRACE_S
         due = [
             name
             for name, until in self._retained_until.items()
--- a/tests/unit/test_replication.py
+++ b/tests/unit/test_replication.py
@@ -827,3 +827,25 @@
             assert _without_removed(held) == stored
 
     _run(12, check, seed)
+
+
+def test_upstream_that_joined_after_the_copy_is_retained():
+    """Its entry is written again, though no outage of the store was seen."""
+
+    async def check(fleet: ReplicaFleet) -> None:
+        await asyncio.sleep(5)
+        copied = fleet.store.copy()
+        for name in ('two', 'three'):
+            fleet.store.put(f'up/{name}', 'ready')
+        await asyncio.sleep(IN_FORCE_S)
+        _restore(fleet, copied)
+        for number in range(40):
+            await asyncio.sleep(0.1)
+            if number == 14:
+                fleet.store.put('up/two', 'ready')
+            for vm in fleet.vms:
+                assert vm.state.is_usable(UpstreamName('two'))
+        for vm in fleet.vms:
+            assert not vm.state.is_usable(UpstreamName('three'))
+
+    _run(12, check)
