Register a VM again whose entry a restored store has lost

VMs that registered in the lost seconds vanished from all others: the remaining ones chose other readers and coordinators, and nobody wrote the entries again.

Cause: a VM writes its entry once, without a lease, and took the answer for the end of it; nothing compared it with what the store holds.

Change: a VM that is not listed for a second registers again.

test_vms_that_registered_after_the_copy_register_again failed before; it also bounds the calls: one write for each lost entry, no read of everything by VMs other than readers.

--- a/teaselquay/events/_registry.py
+++ b/teaselquay/events/_registry.py
@@ -19,6 +19,7 @@
     STORE_RESTORED = 'store.restored'
     ENTRY_OVERRULED = 'store.entry-overruled'
     ENTRY_REJECTED = 'store.entry-rejected'
+    VM_UNLISTED = 'store.vm-unlisted'
     CHANGES_TOLD = 'changes.told'
     CONFIGURATION_APPLIED = 'configuration.applied'
     UPSTREAM_ADDED = 'upstream.added'
--- a/teaselquay/fleet/_replication.py
+++ b/teaselquay/fleet/_replication.py
@@ -58,6 +58,9 @@
 #: looks like a quiet one until then, and a change must be in force before two
 #: of these and the delays below have passed.
 _WATCH_END_PERIOD_S = 0.8
+#: Time in seconds after which a VM that is not listed registers again. Its
+#: registration may be on the way to it, or the store may have lost it.
+_MAX_UNLISTED_S = 1.0
 #: Shorter watches are prolonged to the next end.
 _MIN_WATCH_TIMEOUT_S = 0.02
 #: Time in seconds after which an answer of the store is overdue, in addition to
@@ -125,6 +128,7 @@
     _is_watching: bool = False
     _took_over_at: Instant = _NEVER
     _is_registered: bool = False
+    _unlisted_since: Instant | None = None
     _pull_round: int = 0
     _is_catching_up: bool = False
     _failed_pulls: int = 0
@@ -203,6 +207,7 @@
         self._pull_round += 1
         now = self.clock.now()
         self.state.remove_expired(now, self._stable_s())
+        self._check_registration(now)
         if self._was_reader and self._is_zone_reader():
             self._broadcaster.broadcast_freshness(self.replica.revision)
         pushed = now - self._pushed_at < _PUSH_TTL_S and not self._was_reader
@@ -225,8 +230,23 @@
         if self.state.vms_by_name.get(self.record.name) == self.record:
             self._is_registered = True
             return
+        self._is_registered = await self._register()
+
+    async def _register(self) -> bool:
+        """Write the record of this VM; return whether it was accepted."""
         registered = await self.store.register(self.record)
-        self._is_registered = isinstance(registered, Success)
+        return isinstance(registered, Success)
+
+    def _check_registration(self, now: Instant) -> None:
+        """Register this VM again if the store has lost its entry."""
+        if not self._is_registered or self.state.is_listed(self.record):
+            self._unlisted_since = None
+        elif self._unlisted_since is None:
+            self._unlisted_since = now
+        elif now - self._unlisted_since >= _MAX_UNLISTED_S:
+            self._unlisted_since = now
+            self.journal.emit(Event.VM_UNLISTED, **self._position())
+            self._spawn(self._register())
 
     async def _read_changes(self, wait_s: float) -> bool:
         """Read changes within `wait_s`; return whether the store answered."""
--- a/teaselquay/fleet/_state.py
+++ b/teaselquay/fleet/_state.py
@@ -91,7 +91,8 @@
     #: Entries that are older than what is in force, by key.
     _overruled_by_key: dict[str, Entry] = field(default_factory=dict)
     _restores: RestoreGuard = field(default_factory=RestoreGuard)
-    _retained_until: dict[UpstreamName, Instant] = field(default_factory=dict)
+    #: End of the grace period of entries that are missing, by key.
+    _retained_until: dict[str, Instant] = field(default_factory=dict)
     _listeners: list[Listener] = field(default_factory=list)
 
     def subscribe(self, listener: Listener) -> None:
@@ -102,6 +103,12 @@
         """Return the upstreams of `service` that accept new requests."""
         return self._usable_by_service.get(service, ())
 
+    def is_listed(self, record: VmRecord) -> bool:
+        """Return whether the store lists the VM of `record` as it is."""
+        lapsed = {self.decoder.vm_of(key) for key in self._retained_until}
+        is_known = self.vms_by_name.get(record.name) == record
+        return is_known and record.name not in lapsed
+
     def is_usable(self, name: UpstreamName) -> bool:
         """Return whether the upstream `name` accepts new requests."""
         record = self.upstreams_by_name.get(name)
@@ -117,11 +124,11 @@
         """Apply changed entries, and notify the listeners.
 
         `store_stable_s` is the time in seconds for which the store has
-        answered without interruption. An upstream that is missing shortly
-        after an outage, or after a restore of the store from a copy, is
-        retained for a grace period, as its entry may be written again. After a
-        restore, content that is older than what is in force does not replace
-        it for a time.
+        answered without interruption. An upstream or a VM that is missing
+        shortly after an outage, or after a restore of the store from a copy,
+        is retained for a grace period, as its entry may be written again.
+        After a restore, content that is older than what is in force does not
+        replace it for a time.
         """
         entries = tuple(entries)
         self._restores.observe(entries, now)
@@ -131,14 +138,14 @@
             self._overruled_by_key.pop(entry.key, None)
             if entry.value:
                 self._put(entry, now, origin)
-            elif grace_s > 0 and self._is_upstream(entry.key):
+            elif grace_s > 0 and self._is_known(entry.key):
                 self._retain(entry.key, Instant(now + grace_s))
             else:
                 self._remove(entry.key, now)
         self._index()
 
     def remove_expired(self, now: Instant, store_stable_s: float) -> None:
-        """Remove upstreams whose grace period after an outage has ended.
+        """Remove upstreams and VMs whose grace period has ended.
 
         That is the case for all if the store, as became known since, has
         answered for `store_stable_s` seconds. Entries that were overruled
@@ -149,12 +156,12 @@
         stable_s = self._restores.stable_s(store_stable_s, now)
         is_stable = stable_s >= _RESTORE_GRACE_S
         due = [
-            name
-            for name, until in self._retained_until.items()
+            key
+            for key, until in self._retained_until.items()
             if is_stable or now >= until
         ]
-        for name in due:
-            self._remove_upstream(name, now)
+        for key in due:
+            self._remove(key, now)
         if due:
             self._index()
 
@@ -168,6 +175,7 @@
         self._index()
 
     def _put(self, entry: Entry, now: Instant, origin: Origin) -> None:
+        self._retained_until.pop(entry.key, None)
         try:
             record = self.decoder.decode(entry)
         except EntryError as error:
@@ -230,7 +238,6 @@
         )
 
     def _put_upstream(self, record: UpstreamRecord, entry: Entry) -> None:
-        self._retained_until.pop(record.name, None)
         previous = self.upstreams_by_name.get(record.name)
         self.upstreams_by_name[record.name] = record
         if previous is None or previous.state is not record.state:
@@ -243,16 +250,21 @@
                 revision=number_of(entry.revision),
             )
 
-    def _is_upstream(self, key: str) -> bool:
-        return self.decoder.upstream_of(key) in self.upstreams_by_name
+    def _is_known(self, key: str) -> bool:
+        """Return whether an upstream or a VM is known under `key`."""
+        is_upstream = self.decoder.upstream_of(key) in self.upstreams_by_name
+        return is_upstream or self.decoder.vm_of(key) in self.vms_by_name
 
     def _retain(self, key: str, until: Instant) -> None:
+        if key in self._retained_until:
+            return
+        self._retained_until[key] = until
         name = self.decoder.upstream_of(key)
-        if name is not None and name not in self._retained_until:
-            self._retained_until[name] = until
+        if name is not None:
             self.journal.emit(Event.UPSTREAM_LAPSED, upstream=name)
 
     def _remove(self, key: str, now: Instant) -> None:
+        self._retained_until.pop(key, None)
         vm = self.decoder.vm_of(key)
         if vm is not None:
             self.vms_by_name.pop(vm, None)
@@ -261,7 +273,6 @@
             self._remove_upstream(name, now)
 
     def _remove_upstream(self, name: UpstreamName, now: Instant) -> None:
-        self._retained_until.pop(name, None)
         record = self.upstreams_by_name.pop(name, None)
         if record is not None:
             self._restores.record_departure(record, now)
--- a/tests/unit/test_replication.py
+++ b/tests/unit/test_replication.py
@@ -849,3 +849,22 @@
             assert not vm.state.is_usable(UpstreamName('three'))
 
     _run(12, check)
+
+
+def test_vms_that_registered_after_the_copy_register_again():
+    async def check(fleet: ReplicaFleet) -> None:
+        revision, entries = fleet.store.copy()
+        forgotten = {'vm/vm-0', 'vm/vm-1', 'vm/vm-2', 'vm/vm-5'}
+        kept = {key: entries[key] for key in entries.keys() - forgotten}
+        calls = fleet.store.calls
+        _restore(fleet, (revision, kept))
+        for _ in range(30):
+            await asyncio.sleep(0.1)
+            for vm in fleet.vms:
+                assert len(vm.state.vms_by_name) == len(fleet.vms)
+        assert forgotten <= fleet.store.entries.keys()
+        # One write each, three readers, and a read of all by each of them.
+        writes = len(forgotten)
+        assert fleet.store.calls - calls <= writes + 3 * (1 + writes + 3 / 0.8)
+
+    _run(12, check)
