Do not take a store that is behind for current

Cause: a whole read that is older than the replica changed nothing, and counted as an answer.

Change: it counts as a loss of the store, with the reason 'behind'; other VMs try, at the pace of an outage.

test_store_that_is_behind_is_neither_current_nor_read_all_the_time failed before (age 0.007 s, of more than 2 s).

--- a/teaselquay/fleet/_replication.py
+++ b/teaselquay/fleet/_replication.py
@@ -286,9 +286,12 @@
         if isinstance(read, Failure):
             self._store_failed(read.failure().reason)
             return False
+        whole = read.unwrap()
+        if whole.upto < self.replica.revision:
+            self._store_failed('behind')
+            return False
         self._store_answered(started_at)
-        whole = self._with_removals(read.unwrap())
-        self._merge(whole, FROM_STORE)
+        self._merge(self._with_removals(whole), FROM_STORE)
         return True
 
     def _with_removals(self, whole: Delta) -> Delta:
--- a/tests/unit/test_replication.py
+++ b/tests/unit/test_replication.py
@@ -868,3 +868,21 @@
         assert fleet.store.calls - calls <= writes + 3 * (1 + writes + 3 / 0.8)
 
     _run(12, check)
+
+
+def test_store_that_is_behind_is_neither_current_nor_read_all_the_time():
+    """The store lost revisions, and does not name a later era."""
+
+    async def check(fleet: ReplicaFleet) -> None:
+        for version in range(2, 9):
+            fleet.store.put('config', version)
+        await asyncio.sleep(IN_FORCE_S)
+        fleet.store.compacted = fleet.store.revision + 1
+        fleet.store.revision -= 5
+        calls = fleet.store.calls
+        await asyncio.sleep(5)
+        assert min(vm.replication.age_s() for vm in fleet.vms) > 2
+        # No VM calls more often than it retries a store that it lost.
+        assert fleet.store.calls - calls <= len(fleet.vms) * 5 / 0.5 * 2
+
+    _run(12, check)
