Reject entries whose values are nested too deep or out of range

An odd entry of another writer among those of the upstreams made VMs stop following the list: deep nesting raised RecursionError out of the decoder after the replica had taken the delta, so that the rest of it was never applied; ports out of range, numbers of 400 digits, infinite times and hosts that are no IP addresses were accepted; an infinite revision of the store raised OverflowError.

Change: one check of all numbers (finite, not negative, exact as a float), one of addresses and one of times; what they raise, and exhausted recursion, is reported as an entry that cannot be decoded, which names no upstream and leaves the others in use. The reason in the log line is limited.

--- a/teaselquay/platform/_decoding.py
+++ b/teaselquay/platform/_decoding.py
@@ -10,6 +10,7 @@
 """
 
 import json
+from ipaddress import ip_address
 from typing import Any
 
 from teaselquay.configuration import (
@@ -42,8 +43,22 @@
 UPSTREAM_KEY_PREFIX = 'servers/'
 VM_KEY_PREFIX = 'teaselquay/vms/'
 
-#: Exceptions that a document of an unexpected structure raises.
-_DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
+#: Exceptions that a document of an unexpected structure raises. Deep nesting
+#: exhausts the stack of the JSON parser.
+_DECODE_ERRORS = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+#: Largest number that is accepted. It fits into messages and is exact as a
+#: float.
+_MAX_NUMBER = (1 << 53) - 1
+
+#: Limit for the part of a malformed value that a log line repeats.
+_MAX_REASON_CHARS = 200
 
 _ROUTE_KINDS = {
     'idempotent': RouteKind.IDEMPOTENT,
@@ -78,7 +93,8 @@
             if vm is not None:
                 return _parse_vm(vm, json.loads(entry.value))
         except _DECODE_ERRORS as error:
-            fault = CatalogFault(entry.key, '', repr(error))
+            reason = repr(error)[:_MAX_REASON_CHARS]
+            fault = CatalogFault(entry.key, '', reason)
             raise EntryError(fault) from error
         return None
 
@@ -107,9 +123,10 @@
 
 
 def _parse_vm(name: VmName, document: Any) -> VmRecord:
-    Address.parse(_str_field(document, 'peer'))
     return VmRecord(
-        name, document['peer'], ZoneName(_str_field(document, 'zone'))
+        name,
+        _address_field(document, 'peer'),
+        ZoneName(_str_field(document, 'zone')),
     )
 
 
@@ -117,8 +134,7 @@
     # `info` is constant while a server process runs, `status` changes.
     info = document['info']
     status = document['status']
-    address = _str_field(document, 'address')
-    Address.parse(address)
+    address = _address_field(document, 'address')
     slots = _int_field(info, 'capacity')
     if slots <= 0:
         raise ValueError(f'expected a positive capacity, not {slots}')
@@ -162,7 +178,8 @@
     if weighted_services:
         targets = tuple(
             WeightedService(
-                ServiceName(weighted['service']), weighted['weight']
+                ServiceName(weighted['service']),
+                _number(weighted['weight'], 'weight'),
             )
             for weighted in weighted_services
         )
@@ -176,8 +193,8 @@
         timeout_s=parse_duration(fields['timeout']),
         target_latency_s=parse_duration(fields['target-latency']),
         targets=targets,
-        priority=fields.get('priority', 1),
-        max_attempts=fields.get('max-attempts', 1),
+        priority=_number(fields.get('priority', 1), 'priority'),
+        max_attempts=_number(fields.get('max-attempts', 1), 'max-attempts'),
         is_public=bool(fields.get('public', False)),
     )
 
@@ -186,27 +203,32 @@
     return ServiceRule(
         ServiceName(name),
         fields.get('health-path', '/health'),
-        fields.get('max-conns', 0),
+        _number(fields.get('max-conns', 0), 'max-conns'),
     )
 
 
 def _parse_team(name: str, fields: Any) -> TeamRule:
+    priority = fields.get('priority')
     return TeamRule(
         name=TeamName(name),
-        api_keys=tuple(fields.get('api-keys') or ()),
-        rate=float(fields.get('rate-per-s') or 0),
-        burst=float(fields.get('burst') or 0),
-        priority=fields.get('priority'),
+        api_keys=tuple(map(_text, fields.get('api-keys') or ())),
+        rate=float(_number(fields.get('rate-per-s') or 0, 'rate-per-s')),
+        burst=float(_number(fields.get('burst') or 0, 'burst')),
+        priority=None if priority is None else _number(priority, 'priority'),
     )
 
 
 def _parse_limits(fields: Any) -> RequestLimits:
     defaults = RequestLimits()
     return RequestLimits(
-        max_header_bytes=fields.get(
-            'max-header-bytes', defaults.max_header_bytes
+        max_header_bytes=_number(
+            fields.get('max-header-bytes', defaults.max_header_bytes),
+            'max-header-bytes',
+        ),
+        max_body_bytes=_number(
+            fields.get('max-body-bytes', defaults.max_body_bytes),
+            'max-body-bytes',
         ),
-        max_body_bytes=fields.get('max-body-bytes', defaults.max_body_bytes),
         header_timeout_s=_parse_timeout(
             fields,
             'header-timeout',
@@ -222,15 +244,46 @@
     return parse_duration(fields[name]) if name in fields else default_s
 
 
-def _str_field(fields: Any, name: str) -> str:
-    field = fields[name]
+def _text(field: Any) -> str:
     if not isinstance(field, str):
-        raise TypeError(f'expected text in {name}, not {field!r}')
+        raise TypeError(f'expected text, not {field!r}')
     return field
 
 
+def _str_field(fields: Any, name: str) -> str:
+    return _text(fields[name])
+
+
+def _address_field(fields: Any, name: str) -> str:
+    """Return the IP address and port under `name` as text.
+
+    Raises:
+        ValueError: the host is no IP address, or the port is out of range.
+    """
+    text = _str_field(fields, name)
+    address = Address.parse(text)
+    ip_address(address.host)
+    if not address.port:
+        raise ValueError(f'no port in {name}')
+    return text
+
+
 def _int_field(fields: Any, name: str) -> int:
     field = fields[name]
     if type(field) is not int:  # noqa: WPS516
         raise TypeError(f'expected a whole number in {name}, not {field!r}')
+    return _number(field, name)
+
+
+def _number(field: Any, name: str) -> Any:
+    """Return `field` if it is a number that is neither negative nor too large.
+
+    Raises:
+        TypeError: it is no number.
+        ValueError: it is out of range.
+    """
+    if type(field) not in {int, float}:  # noqa: WPS516
+        raise TypeError(f'expected a number in {name}, not {field!r}')
+    if not 0 <= field <= _MAX_NUMBER:
+        raise ValueError(f'the number in {name} is out of range')
     return field
--- a/teaselquay/platform/_store.py
+++ b/teaselquay/platform/_store.py
@@ -39,7 +39,15 @@
 #: Header of all answers: how often the store was restored from a copy. Older
 #: platforms do not send it.
 _ERA_HEADER = b'store-era'
-_MALFORMED_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
+#: Failures of a call; deep nesting exhausts the stack of the JSON parser.
+_CALL_ERRORS = (ExchangeError, TimeoutError, ValueError, RecursionError)
+_MALFORMED_ERRORS = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+)
 #: Matches all keys, those of the operators, the upstreams and this system.
 _ALL_KEYS_PREFIX = ''
 
@@ -174,7 +182,7 @@
         """Return the response to `call`, or the reason why it is unusable."""
         try:
             response = await call
-        except (ExchangeError, TimeoutError, ValueError) as error:
+        except _CALL_ERRORS as error:
             self.calls_by_result[kind, 'lost'] += 1
             return StoreUnavailable(str(error) or 'timeout')
         self.calls_by_result[kind, str(response.status)] += 1
--- a/teaselquay/shells/_peers.py
+++ b/teaselquay/shells/_peers.py
@@ -18,6 +18,9 @@
 _ADDRESS_CACHE_SIZE = 16_384
 
 
+_MAX_PORT = 65_535
+
+
 class Address(NamedTuple):
     """An IP address and a port."""
 
@@ -29,7 +32,7 @@
         """Return the address that `text` states as `host:port`.
 
         Raises:
-            ValueError: the port is not a number.
+            ValueError: the port is not a number up to 65535.
 
         >>> Address.parse('127.0.0.1:80')
         Address(host='127.0.0.1', port=80)
@@ -39,8 +42,11 @@
 
 @lru_cache(_ADDRESS_CACHE_SIZE)
 def _parse_address(text: str) -> Address:
-    host, _, port = text.rpartition(':')
-    return Address(host, int(port))
+    host, _, digits = text.rpartition(':')
+    port = int(digits)
+    if not 0 <= port <= _MAX_PORT:
+        raise ValueError(f'port {port} is out of range')
+    return Address(host, port)
 
 
 class Answer(NamedTuple):
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -8,7 +8,15 @@
 from returns.result import Failure
 
 from teaselquay.configuration import RouteKind, UpstreamState
-from teaselquay.decisions import Entry, EntryError, Revision
+from teaselquay.decisions import (
+    Entry,
+    EntryError,
+    Instant,
+    Revision,
+    ServiceName,
+)
+from teaselquay.events import Journal
+from teaselquay.fleet import FleetState
 from teaselquay.platform import PlatformDecoder, read_settings
 
 UPSTREAM: dict[str, Any] = {
@@ -99,6 +107,18 @@
         ('status.warmup-left', 3),
         ('born', '1700000000000'),
         ('born', 1.5),
+        ('address', '10.0.0.9:70000'),
+        ('address', '10.0.0.9:0'),
+        ('address', '10.0.0.9:-1'),
+        ('address', f'10.0.0.9:{10**30}'),
+        ('address', ':80'),
+        ('address', 'localhost:80'),
+        ('born', 10**400),
+        ('born', -1),
+        ('info.capacity', 10**400),
+        ('info.capacity', float('inf')),
+        ('status.sequence', 10**20),
+        ('status.warmup-left', f'{10**400}s'),
     ],
 )
 def test_malformed_upstream_is_rejected(path: str, value: Any):
@@ -149,3 +169,61 @@
     found = read_settings(file)
     assert isinstance(found, Failure)
     assert found.failure()[0].path == path
+
+
+def _nested(depth: int) -> str:
+    return '[' * depth + ']' * depth
+
+
+@pytest.mark.parametrize('depth', [5000, 200_000])
+def test_deep_nesting_is_rejected(depth: int):
+    unused = json.dumps(UPSTREAM)[:-1] + f', "unused": {_nested(depth)}}}'
+    for text in (_nested(depth), unused):
+        entry = Entry('servers/i-1', text.encode(), Revision(1))
+        with pytest.raises(EntryError):
+            PlatformDecoder().decode(entry)
+
+
+@pytest.mark.parametrize(
+    'field',
+    [
+        {'priority': 'high'},
+        {'max-attempts': 10**400},
+        {'weighted-services': [{'service': 's', 'weight': float('inf')}]},
+        {'weighted-services': [{'service': 's', 'weight': True}]},
+        {'timeout': f'{10**400}ms'},
+    ],
+)
+def test_route_with_a_value_out_of_range_is_rejected(field: dict[str, Any]):
+    route = {**CONFIGURATION['routes']['r'], **field}
+    document = {**CONFIGURATION, 'routes': {'r': route}}
+    with pytest.raises(EntryError):
+        PlatformDecoder().decode(json_entry('op/config', document))
+
+
+@pytest.mark.parametrize(
+    'team',
+    [{'api-keys': [['k']]}, {'rate-per-s': float('nan')}, {'burst': 'many'}],
+)
+def test_team_with_a_value_out_of_range_is_rejected(team: dict[str, Any]):
+    document = {**CONFIGURATION, 'tenants': {'t': team}}
+    with pytest.raises(EntryError):
+        PlatformDecoder().decode(json_entry('op/config', document))
+
+
+def test_odd_entry_leaves_the_others_in_use():
+    """One writer's odd entries come in the same delta as sound ones."""
+    decoder = PlatformDecoder()
+    state = FleetState(
+        decoder, Journal('vm', 1, lambda: 0.0, lambda line: None)
+    )
+    sound = json_entry('servers/i-1', UPSTREAM)
+    odd = [
+        Entry('servers/i-2', _nested(200_000).encode(), Revision(4)),
+        json_entry('servers/i-3', _upstream_with('info.capacity', 10**400)),
+        json_entry('servers/i-4', _upstream_with('address', '10.0.0.9:70000')),
+    ]
+    last = json_entry('servers/i-5', UPSTREAM)
+    state.apply([sound, *odd, last], Instant(0.0), 60.0)
+    names = [upstream.name for upstream in state.usable(ServiceName('s'))]
+    assert names == ['i-1', 'i-5']
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -128,6 +128,17 @@
     _run(check)
 
 
+def test_infinite_revision_makes_the_store_unavailable():
+    async def check(
+        standin: PlatformStoreStandIn,
+        store: PlatformStore,
+    ) -> None:
+        standin.revision = float('inf')  # type: ignore[assignment]
+        assert isinstance(await store.read_all(), Failure)
+
+    _run(check)
+
+
 def test_store_without_eras_is_read_as_one_history():
     async def check(
         standin: PlatformStoreStandIn,
