Send requests without an id on new connections only

Requests with an id were safe: the id that an answer bears must be the one that was sent (test_late_second_answer_is_no_answer_to_ the_next_request, which now has a refusal without any id too). A request without an id on a kept connection took such a refusal for its own: it was sent to a second upstream while the first one ran it.

Change: a request without an id gets a connection of its own, on which nothing earlier can be due.

--- a/teaselquay/gateway/_call.py
+++ b/teaselquay/gateway/_call.py
@@ -143,7 +143,11 @@
     async def _connect(self) -> HttpConnection:
         address = Address.parse(self.target.upstream.address)
         now = self.clock.now()
-        pooled = self.pool.acquire(address, now, self.target.max_idle_s)
+        pooled = None
+        if self.exchange.header(self.header_names.request_id) is not None:
+            # Without an id, a late answer to an earlier request on the
+            # connection could not be told from the answer to this one.
+            pooled = self.pool.acquire(address, now, self.target.max_idle_s)
         if pooled is not None:
             self.is_reused = True
             self.idle_s = now - pooled.last_used
--- a/tests/unit/test_similar_faults.py
+++ b/tests/unit/test_similar_faults.py
@@ -22,7 +22,12 @@
 from teaselquay.gateway._process import GatewayProcess
 from teaselquay.platform import PlatformStore
 from teaselquay.platform._settings import read_settings
-from teaselquay.shells import Address, Answer, Codec, DatagramLink
+from teaselquay.shells import (
+    Address,
+    Answer,
+    Codec,
+    DatagramLink,
+)
 from teaselquay.shells import _messages
 from teaselquay.shells._http import HttpConnection
 from teaselquay.shells._messages import MessageError
@@ -71,8 +76,15 @@
         b'x-request-id: first\r\ncontent-length: 3\r\n\r\nold',
         b'HTTP/1.1 200 OK\r\nx-answer-stamp: stamp\r\n'
         b'content-length: 3\r\n\r\nold',
+        b'HTTP/1.1 503 Full\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n',
+    ],
+    ids=[
+        'not executed',
+        'misdirected',
+        'served',
+        'without id',
+        'not executed, without id',
     ],
-    ids=['not executed', 'misdirected', 'served', 'without id'],
 )
 def test_late_second_answer_is_no_answer_to_the_next_request(late: bytes):
     async def check(gateway: Gateway, upstreams: Upstreams) -> None:
@@ -93,6 +105,30 @@
     run_with(BOOKINGS, _answer_then(late), check)  # type: ignore[arg-type]
 
 
+def test_request_without_id_takes_no_refusal_of_another_request():
+    """Nothing in a refusal tells which request on the connection it is of."""
+
+    async def handle(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        received: Received,
+    ) -> None:
+        await reader.readexactly(int(received.headers['content-length']))
+        writer.write(answer(received))
+        await asyncio.sleep(0.02)
+        refusal = b'HTTP/1.1 503 Full\r\nx-not-executed: 1\r\n'
+        writer.write(refusal + b'content-length: 0\r\n\r\n')
+
+    async def check(gateway: Gateway, upstreams: Upstreams) -> None:
+        for _ in range(3):
+            asked = await gateway.ask('POST', body=b'x', x_request_id='')
+            assert asked[0] == 200
+        assert _sent_count(upstreams) == 3
+        assert sum(upstream.connections for upstream in upstreams) == 3
+
+    run_with(BOOKINGS, [handle, handle], check)
+
+
 def test_octets_after_a_complete_answer_do_not_spoil_it():
     async def main() -> bytes:
         connection = HttpConnection()
