Test answers that are cut at each octet

It cannot happen here: an answer with a length, in chunks, or that ends with its connection fails at each octet before its end, in the last case before the end of its head, and a caller gets 502. No change of the code.

--- a/tests/unit/test_similar_faults.py
+++ b/tests/unit/test_similar_faults.py
@@ -25,6 +25,7 @@
 from teaselquay.shells import (
     Address,
     Answer,
+    BrokenAnswerError,
     Codec,
     DatagramLink,
 )
@@ -129,6 +130,55 @@
     run_with(BOOKINGS, [handle, handle], check)
 
 
+_HEAD = b'HTTP/1.1 200 OK\r\nx-answer-stamp: stamp\r\nx-request-id: r\r\n'
+_WHOLE_ANSWERS = {
+    'length': b'content-length: 5\r\n\r\nwhole',
+    'chunked': b'transfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n',
+    'until close': b'\r\nwhole',
+}
+
+
+@pytest.mark.parametrize('framing', _WHOLE_ANSWERS)
+def test_answer_that_is_cut_at_any_octet_is_never_complete(framing: str):
+    whole = _HEAD + _WHOLE_ANSWERS[framing]
+    head_length = whole.index(b'\r\n\r\n') + 4
+    # An answer without a length is complete wherever its connection ends.
+    limit = head_length if framing == 'until close' else len(whole)
+
+    async def read(received: bytes) -> bytes:
+        connection = HttpConnection()
+        connection.begin('GET')
+        connection.data_received(received)
+        connection.eof_received()
+        connection.connection_lost(None)
+        await connection.read_head()
+        return await connection.read_whole_body(100)
+
+    for length in range(limit):
+        with pytest.raises(BrokenAnswerError):
+            asyncio.run(read(whole[:length]))
+    assert asyncio.run(read(whole)) == b'whole'
+
+
+@pytest.mark.parametrize('length', [9, 17, 45, len(_HEAD), len(_HEAD) + 17])
+def test_caller_gets_no_success_from_a_head_that_is_cut(length: int):
+    async def handle(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        received: Received,
+    ) -> None:
+        head = _HEAD.replace(b': r\r', b': request-1\r')
+        whole = head + _WHOLE_ANSWERS['length']
+        writer.write(whole[:length])
+        writer.close()
+
+    async def check(gateway: Gateway, upstreams: Upstreams) -> None:
+        status, _, _ = await gateway.ask('POST', body=b'x')
+        assert status == 502
+
+    run_with(BOOKINGS, [handle, handle], check)
+
+
 def test_octets_after_a_complete_answer_do_not_spoil_it():
     async def main() -> bytes:
         connection = HttpConnection()
