--- a/soak/_plan.py
+++ b/soak/_plan.py
@@ -32,6 +32,7 @@
     STORE_LOSES = 'store-loses'
     STORE_COMPACTS = 'store-compacts'
     STORE_REFUSES = 'store-refuses'
+    STORE_RESTORED = 'store-restored'
     CHANGE = 'change'
     REVOKE = 'revoke'
     DRAIN = 'drain'
@@ -62,6 +63,7 @@
         Fault.STORE_SLOW,
         Fault.STORE_LOSES,
         Fault.STORE_REFUSES,
+        Fault.STORE_RESTORED,
         Fault.DRAIN,
         Fault.SPELL,
         Fault.HANG,
--- a/soak/_standins.py
+++ b/soak/_standins.py
@@ -24,6 +24,7 @@
 class SoakStore(PlatformStoreStandIn):
     """A store with the faults of the platform's, for as long as they last."""
 
+    era: int | None = 0
     is_down: bool = False
     is_slow: bool = False
     loses: bool = False
@@ -81,6 +82,7 @@
     #: Requests per second that it names as its limit; 0 names none.
     limit: float = 0
     started_ms: int = 1
+    sequence: int = 0
     state: str = 'ready'
     server: ScriptedUpstream = field(init=False)
 
@@ -89,7 +91,8 @@
         self.server = ScriptedUpstream(self._serve)
 
     def entry(self) -> bytes:
-        """Return what the store says of this upstream."""
+        """Return what this upstream writes next to the store."""
+        self.sequence += 1
         document = {
             'address': f'127.0.0.1:{self.server.port}',
             'info': {
@@ -100,7 +103,7 @@
             },
             'status': {
                 'state': self.state,
-                'sequence': 1,
+                'sequence': self.sequence,
                 'warmup-left': '0ms',
             },
             'born': self.started_ms,
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -25,6 +25,9 @@
 _DELAY_S = 0.3
 _PEER_LOSS = 0.3
 _MEASURE_S = 0.5
+#: How long the store is away before it is restored, and how much later the
+#: operators and upstreams write theirs again, in seconds.
+_RESTORE_S = 0.3
 _TIMEOUTS_S = (4, 5, 6)
 _SEED_BITS = 32
 
@@ -281,6 +284,27 @@
     world.record.store_harmed.append(Span(began_s, world.now()))
 
 
+@act(Fault.STORE_RESTORED)
+async def _restore_store(world: World, step: Step) -> None:
+    """Lose what was written since the fault began, and have it written again.
+
+    The entries of the VMs are theirs to write.
+    """
+    store = world.store
+    copied, revision = dict(store.items), store.revision
+    await asyncio.sleep(step.for_s)
+    began_s = world.now()
+    store.is_down = True
+    await asyncio.sleep(_RESTORE_S)
+    store.restore(copied, revision)
+    store.is_down = False
+    await asyncio.sleep(_RESTORE_S)
+    await world.configure()
+    for upstream in world.upstreams:
+        await world.publish(upstream)
+    world.record.store_harmed.append(Span(began_s, world.now()))
+
+
 @act(Fault.CHANGE)
 async def _change_configuration(world: World, step: Step) -> None:
     world.version += 1
