--- a/tests/unit/test_replication.py
+++ b/tests/unit/test_replication.py
@@ -650,6 +650,25 @@
     _run(48, check, seed)
 
 
+def test_some_watch_is_answered_soon_while_nothing_changes():
+    """The store may stop answering all readers at any time."""
+
+    async def check(fleet: ReplicaFleet) -> None:
+        loop = asyncio.get_running_loop()
+        called_at = loop.time()
+        longest_s = 0.0
+        calls = fleet.store.calls
+        for _ in range(600):
+            await asyncio.sleep(0.02)
+            if fleet.store.calls > calls:
+                longest_s = max(longest_s, loop.time() - called_at)
+                called_at, calls = loop.time(), fleet.store.calls
+        # Half of the time in which a change must be in force is left then.
+        assert longest_s <= IN_FORCE_S / 2
+
+    _run(24, check)
+
+
 def test_vms_that_are_behind_but_hear_pushes_do_not_read_the_store():
     """Load pattern: pushes arrive, and pulls of what they announce do not."""
 
