Keep a reader whose overdue answer arrives

While the store took 0.5 s or more for an answer, each watch of each reader was overdue; the reader counted as without store for 1.5 s although the answer came, told its zone nothing, and was replaced, again and again.

Change: an answer ends the mark.

The test failed before by its count of calls (77 of 55).

--- a/teaselquay/fleet/_replication.py
+++ b/teaselquay/fleet/_replication.py
@@ -338,6 +338,7 @@
 
     def _store_answered(self, current_at: Instant) -> None:
         self._evidence.add_answer(self.clock.now())
+        self.directory.record_store_success(self.record.name)
         if self._is_store_lost:
             self._is_store_lost = False
             self.journal.emit(
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -123,6 +123,8 @@
     away: set[VmName] = field(default_factory=set)
     silent: set[VmName] = field(default_factory=set)
     is_down: bool = False
+    #: Time in seconds that each answer takes.
+    latency_s: float = 0.004
     calls: int = 0
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -244,7 +246,7 @@
 
     async def _reach(self) -> bool:
         self.shared.calls += 1
-        await asyncio.sleep(0.004)
+        await asyncio.sleep(self.shared.latency_s)
         return self._is_reachable()
 
     def _is_reachable(self) -> bool:
--- a/tests/unit/test_replication.py
+++ b/tests/unit/test_replication.py
@@ -650,6 +650,36 @@
     _run(48, check, seed)
 
 
+def test_changes_are_in_force_in_time_while_the_store_is_slow():
+    """Load pattern: all answers take 0.6 s, a part of a call's timeout."""
+    late: list[tuple[VmName, int, int]] = []
+
+    async def collect_late(fleet: ReplicaFleet, version: int) -> None:
+        await asyncio.sleep(IN_FORCE_S)
+        late.extend(
+            (vm.name, vm.version, version)
+            for vm in fleet.vms
+            if vm.version < version
+        )
+
+    async def check(fleet: ReplicaFleet) -> None:
+        fleet.store.latency_s = 0.6
+        checks = []
+        calls = fleet.store.calls
+        began_at = asyncio.get_running_loop().time()
+        for version in range(2, 14):
+            await asyncio.sleep(fleet.random.uniform(0.3, 1.2))
+            fleet.store.put('config', version)
+            checks.append(asyncio.create_task(collect_late(fleet, version)))
+        await asyncio.gather(*checks)
+        assert not late
+        # The readers of three zones watch as they do at other times.
+        seconds = asyncio.get_running_loop().time() - began_at
+        assert fleet.store.calls - calls <= 3 * (len(checks) + seconds / 2 + 1)
+
+    _run(24, check)
+
+
 def test_some_watch_is_answered_soon_while_nothing_changes():
     """The store may stop answering all readers at any time."""
 
