Register again only if the entry is gone, or was restored

Change: an entry that is there counts as listed, unless the store was restored since the registration; then another address may be that of an earlier process.

test_vm_that_is_listed_behind_another_address_registers_once failed before.

--- a/teaselquay/fleet/_replication.py
+++ b/teaselquay/fleet/_replication.py
@@ -128,6 +128,8 @@
     _is_watching: bool = False
     _took_over_at: Instant = _NEVER
     _is_registered: bool = False
+    #: Era of the last registration.
+    _registered_era: Era | None = None
     _unlisted_since: Instant | None = None
     _pull_round: int = 0
     _is_catching_up: bool = False
@@ -235,11 +237,25 @@
     async def _register(self) -> bool:
         """Write the record of this VM; return whether it was accepted."""
         registered = await self.store.register(self.record)
-        return isinstance(registered, Success)
+        if isinstance(registered, Success):
+            self._registered_era = self._era()
+            return True
+        return False
+
+    def _is_listed(self) -> bool:
+        """Return whether the store lists this VM.
+
+        Another address than its own is that of an earlier process only if the
+        store was restored since; otherwise peers reach this VM there.
+        """
+        listed = self.state.listed_vm(self.record.name)
+        if listed is None or listed == self.record:
+            return listed is not None
+        return self._registered_era == self._era()
 
     def _check_registration(self, now: Instant) -> None:
         """Register this VM again if the store has lost its entry."""
-        if not self._is_registered or self.state.is_listed(self.record):
+        if not self._is_registered or self._is_listed():
             self._unlisted_since = None
         elif self._unlisted_since is None:
             self._unlisted_since = now
--- a/teaselquay/fleet/_state.py
+++ b/teaselquay/fleet/_state.py
@@ -103,11 +103,10 @@
         """Return the upstreams of `service` that accept new requests."""
         return self._usable_by_service.get(service, ())
 
-    def is_listed(self, record: VmRecord) -> bool:
-        """Return whether the store lists the VM of `record` as it is."""
+    def listed_vm(self, name: VmName) -> VmRecord | None:
+        """Return the record of the VM `name` in the store, or None."""
         lapsed = {self.decoder.vm_of(key) for key in self._retained_until}
-        is_known = self.vms_by_name.get(record.name) == record
-        return is_known and record.name not in lapsed
+        return None if name in lapsed else self.vms_by_name.get(name)
 
     def is_usable(self, name: UpstreamName) -> bool:
         """Return whether the upstream `name` accepts new requests."""
--- a/tests/unit/test_replication.py
+++ b/tests/unit/test_replication.py
@@ -935,3 +935,17 @@
         assert fleet.store.calls - calls <= len(fleet.vms) * 5 / 0.5 * 2
 
     _run(12, check)
+
+
+def test_vm_that_is_listed_behind_another_address_registers_once():
+    async def check(fleet: ReplicaFleet) -> None:
+        fleet.store.put('vm/vm-1', ['10.9.9.9:7000', 'b'])
+        writes = fleet.store.revision
+        await asyncio.sleep(5)
+        assert fleet.store.revision == writes
+        # After a restore that may be the address of an earlier process.
+        fleet.store.restore(fleet.store.copy())
+        await asyncio.sleep(5)
+        assert fleet.store.revision == writes + 1
+
+    _run(6, check)
