--- a/tests/unit/test_replication.py
+++ b/tests/unit/test_replication.py
@@ -616,6 +616,20 @@
     _run(48, check, seed)
 
 
+async def _collect_late(
+    fleet: ReplicaFleet,
+    version: int,
+    late: list[tuple[VmName, int, int]],
+) -> None:
+    """Add the VMs to `late` on which `version` is not in force in time."""
+    await asyncio.sleep(IN_FORCE_S)
+    late.extend(
+        (vm.name, vm.version, version)
+        for vm in fleet.vms
+        if vm.version < version
+    )
+
+
 @pytest.mark.parametrize('seed', [1, 2, 3, 4])
 @pytest.mark.parametrize('silent_share', [0, 0.35])
 def test_changes_are_in_force_in_time_while_the_watches_of_all_readers_hang(
@@ -625,14 +639,6 @@
     """Load pattern: the store answers other VMs, and these readers no more."""
     late: list[tuple[VmName, int, int]] = []
 
-    async def collect_late(fleet: ReplicaFleet, version: int) -> None:
-        await asyncio.sleep(IN_FORCE_S)
-        late.extend(
-            (vm.name, vm.version, version)
-            for vm in fleet.vms
-            if vm.version < version
-        )
-
     async def check(fleet: ReplicaFleet) -> None:
         random = Random(seed)
         await asyncio.sleep(random.random())
@@ -643,7 +649,9 @@
         for version in range(2, 14):
             await asyncio.sleep(random.uniform(0.2, 0.9))
             fleet.store.put('config', version)
-            checks.append(asyncio.create_task(collect_late(fleet, version)))
+            checks.append(
+                asyncio.create_task(_collect_late(fleet, version, late))
+            )
         await asyncio.gather(*checks)
         assert not late
 
@@ -654,14 +662,6 @@
     """Load pattern: all answers take 0.6 s, a part of a call's timeout."""
     late: list[tuple[VmName, int, int]] = []
 
-    async def collect_late(fleet: ReplicaFleet, version: int) -> None:
-        await asyncio.sleep(IN_FORCE_S)
-        late.extend(
-            (vm.name, vm.version, version)
-            for vm in fleet.vms
-            if vm.version < version
-        )
-
     async def check(fleet: ReplicaFleet) -> None:
         fleet.store.latency_s = 0.6
         checks = []
@@ -670,7 +670,9 @@
         for version in range(2, 14):
             await asyncio.sleep(fleet.random.uniform(0.3, 1.2))
             fleet.store.put('config', version)
-            checks.append(asyncio.create_task(collect_late(fleet, version)))
+            checks.append(
+                asyncio.create_task(_collect_late(fleet, version, late))
+            )
         await asyncio.gather(*checks)
         assert not late
         # The readers of three zones watch as they do at other times.
