--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -11,7 +11,7 @@
 from soak._world import ACTS
 
 #: Seeds that ever broke a promise, each with its cause.
-REGRESSIONS: dict[int, str] = {}
+REGRESSIONS = {6: 'a VM registered again and again (suspected)'}
 
 
 def _call(request: str, kind: Kind = Kind.BOOK, **fields: object) -> Call:
