review: six long bookings end a process and what it has at work

GatewayApp._build_context in teaselquay/gateway/_app.py holds the whole body of each request that is not an upload, and no bound is put on their sum.

--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -15,6 +15,8 @@
 PAGE = 500
 HEARTBEAT_S = 1.5
 CRASH_S = 2.0
+#: Bytes of a body that a client writes at once.
+PIECE_BYTES = 65_536
 #: Longest head that a stand-in reads.
 LIMIT = 1 << 20
 
@@ -444,9 +446,12 @@
         body=b'',
         is_chunked=False,
         deadline_s=5.0,
-        piece=65_536,
+        bytes_per_s=0,
     ):
-        """Send one request, and return the call with its answer."""
+        """Send one request, and return the call with its answer.
+
+        The body is sent no faster than `bytes_per_s`, unless that is 0.
+        """
         call = Call(
             request,
             self.machine.name,
@@ -459,18 +464,19 @@
         self.calls.append(call)
         try:
             async with asyncio.timeout(deadline_s):
-                await self._exchange(call, host, key, body, is_chunked, piece)
+                await self._send(call, host, key, body, is_chunked, bytes_per_s)
+                await self._receive(call)
         except (TimeoutError, OSError, Broken):
             self.close()
         call.ended_s = self.now()
         return call
 
-    async def _exchange(self, call, host, key, body, is_chunked, piece):
+    async def _send(self, call, host, key, body, is_chunked, bytes_per_s):
         if self._streams is None:
             self._streams = await asyncio.open_connection(
                 *self.machine.front, limit=LIMIT
             )
-        reader, writer = self._streams
+        writer = self._streams[1]
         lines = [
             f'{call.method} {call.target} HTTP/1.1',
             f'Host: {host}',
@@ -483,17 +489,23 @@
         elif body:
             lines.append(f'Content-Length: {len(body)}')
         writer.write('\r\n'.join(lines).encode() + b'\r\n\r\n')
-        for begin in range(0, len(body), piece):
-            part = body[begin : begin + piece]
+        began_s = time.monotonic()
+        for begin in range(0, len(body), PIECE_BYTES):
+            part = body[begin : begin + PIECE_BYTES]
             if is_chunked:
                 part = b'%x\r\n%b\r\n' % (len(part), part)
             writer.write(part)
             await writer.drain()
+            if bytes_per_s:
+                due_s = began_s + begin / bytes_per_s
+                await asyncio.sleep(max(0, due_s - time.monotonic()))
         if is_chunked:
             writer.write(b'0\r\n\r\n')
-        got = await read_head(reader)
+
+    async def _receive(self, call):
+        got = await read_head(self._streams[0])
         call.headers = got.headers
-        await read_body(reader, got)
+        await read_body(self._streams[0], got)
         call.status = int(got.first.split()[1])
         call.body = got.body
         if 'close' in got.headers.get('connection', '').lower():
