--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -269,6 +269,8 @@
         self.capacity = capacity
         self.work_s = work_s
         self.state = 'ready'
+        #: Whether all answers say that this back end leaves.
+        self.says_leaving = False
         #: Part of a path; a request with it crashes this back end.
         self.crash_path = ''
         self.crashes = 0
@@ -350,6 +352,8 @@
             writer.write(answer(status, {'X-Instance-Id': self.name}))
             return True
         echo = {'X-Request-Id': fields.get('x-request-id', '')}
+        if self.says_leaving:
+            echo['Server-Leaving'] = '1'
         if fields.get('x-expect-instance', self.name) != self.name:
             echo['X-Instance-Id'] = self.name
             writer.write(answer('421 Misdirected Request', echo))
