--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[2]
-START_S = 20.0
+START_S = 30.0
 #: The command under `run` in the deploy file, with the path of its libraries.
 COMMAND = ('python3', '-P', '-m', 'teaselquay.platform', 'serve')
 METRICS_PORT = 9464
@@ -237,9 +237,9 @@
         record(f'trouble: {"yes" if is_troubled else "no"}')
         try:
             held = asyncio.run(play(temporary, is_troubled, record))
-        except (OSError, RuntimeError) as error:
-            record(f'the case could not run: {error}')
-            print(f'the case could not run: {error}')
+        except Exception as error:
+            record(f'the case could not run: {error!r}')
+            print(f'the case could not run: {error!r}')
             sys.exit(NOT_RUN)
         verdict = 'the rule held' if held else 'the rule was broken'
         record(verdict)
