Hold a request body whole if it must be sent whole

Callers saw bookings with a body of over 1 MiB run with an empty one and answered 200 (in chunks), or answered 504 after the timeout (with a length).

Cause: RequestBody.read_whole was built on stream, which drops the parts that it has yielded once over 1 MiB has arrived. The attempt then sent the dropped parts, which are empty, and ended the request properly. Ruled out: losses on the connection (1 MiB arrives, one byte more never does) and the server of callers (uploads arrive).

Change: a body is created with a retention. One that must arrive whole is held whole; one that is streamed raises when it is opened again after a drop. A framer counts what is sent against what was announced and received, and breaks the connection instead of ending a different body properly. A connection whose body failed to be sent is not reused, and is closed when the caller leaves. The pipeline no longer repeats a body whose rest was streamed.

--- a/teaselquay/gateway/_app.py
+++ b/teaselquay/gateway/_app.py
@@ -25,7 +25,7 @@
     refuse,
 )
 from teaselquay.events import Event
-from teaselquay.gateway._body import RequestBody
+from teaselquay.gateway._body import RequestBody, Retention
 from teaselquay.gateway._call import CallResult
 from teaselquay.gateway._dispatch import Dispatch
 from teaselquay.gateway._errand import RequestContext
@@ -42,6 +42,8 @@
 
 _MS_PER_S = 1000
 _DIGEST_BYTES = 16
+#: Bytes of a body that are digested before other tasks may run.
+_MAX_DIGESTED_AT_ONCE_BYTES = 1 << 20
 _UNAVAILABLE_STATUS = 503
 #: Statuses of refusals that are sent unchanged. All others of requests that
 #: did not run become 503, which tells callers that they may retry.
@@ -258,15 +260,15 @@
             parts.metrics.waits_s.labels(reason='rate').observe(
                 admission.wait_s
             )
-            await self._pause(admission.wait_s)
+            await self._pause(route, admission.wait_s)
 
-    async def _pause(self, wait_s: float) -> None:
+    async def _pause(self, route: RouteRule, wait_s: float) -> None:
         """Wait for `wait_s` seconds.
 
         Raises:
             CallerGoneError: the caller left meanwhile.
         """
-        caller_gone = self._read_body().caller_gone
+        caller_gone = self._read_body(route).caller_gone
         try:
             async with asyncio.timeout(wait_s):
                 await caller_gone.wait()
@@ -274,10 +276,19 @@
             return
         raise CallerGoneError
 
-    def _read_body(self) -> RequestBody:
-        """Return the body, which is read from the first call on."""
+    def _read_body(self, route: RouteRule) -> RequestBody:
+        """Return the body, which is read from the first call on.
+
+        Uploads are streamed. Any other request should not start to run
+        before its caller has sent the whole body.
+        """
         if self._body is None:
-            self._body = RequestBody(self._exchange, self._max_body_bytes)
+            is_streamed = route.kind is RouteKind.UPLOAD
+            self._body = RequestBody(
+                self._exchange,
+                self._max_body_bytes,
+                Retention.REPLAY if is_streamed else Retention.WHOLE,
+            )
         return self._body
 
     async def _build_context(
@@ -287,13 +298,10 @@
         service: ServiceName,
     ) -> RequestContext:
         exchange = self._exchange
-        body = self._read_body()
+        body = self._read_body(route)
         team_name = team.name if team else ''
-        body_bytes = b''
         if route.kind is not RouteKind.UPLOAD:
-            # A request that is not idempotent should not start to run before
-            # its caller has sent the whole body.
-            body_bytes = await body.read_whole()
+            await body.wait_complete()
         return RequestContext(
             exchange=exchange,
             body=body,
@@ -301,7 +309,7 @@
             service=service,
             request_id=self._request_id,
             deadline=self._deadline(route),
-            fingerprint=_fingerprint(exchange, team_name, body_bytes),
+            fingerprint=await _fingerprint(exchange, team_name, route, body),
             team=team_name,
         )
 
@@ -404,18 +412,40 @@
     return f'{seconds:.2f}'
 
 
-def _fingerprint(exchange: Exchange, team: str, body: bytes) -> bytes:
-    """Return a digest that is equal for requests that quarantine equates."""
+async def _fingerprint(
+    exchange: Exchange,
+    team: str,
+    route: RouteRule,
+    body: RequestBody,
+) -> bytes:
+    """Return a digest that is equal for requests that quarantine equates.
+
+    The body of an upload does not count. Other tasks run while a long one is
+    digested.
+    """
     digest = blake2b(digest_size=_DIGEST_BYTES)
-    length = exchange.header(b'content-length') or b''
     for component in (
         team.encode(),
         exchange.method.encode(),
         exchange.scope['raw_path'],
         exchange.scope['query_string'],
-        length,
-        body,
+        exchange.header(b'content-length') or b'',
     ):
-        digest.update(len(component).to_bytes(_DIGEST_BYTES, 'big'))
+        digest.update(_encode_length(len(component)))
         digest.update(component)
+    if route.kind is RouteKind.UPLOAD:
+        digest.update(_encode_length(0))
+        return digest.digest()
+    digest.update(_encode_length(body.received_bytes))
+    pending_bytes = 0
+    async for part in body.open():
+        digest.update(part)
+        pending_bytes += len(part)
+        if pending_bytes >= _MAX_DIGESTED_AT_ONCE_BYTES:
+            pending_bytes = 0
+            await asyncio.sleep(0)
     return digest.digest()
+
+
+def _encode_length(length: int) -> bytes:
+    return length.to_bytes(_DIGEST_BYTES, 'big')
--- a/teaselquay/gateway/_body.py
+++ b/teaselquay/gateway/_body.py
@@ -1,31 +1,49 @@
 """Buffering of a request body, so that it can be sent more than once."""
 
 import asyncio
-from typing import AsyncIterator
+from enum import Enum
+from typing import AsyncIterator, MutableMapping
 
 from teaselquay.decisions import ProblemKind, RefusedError, refuse
-from teaselquay.pipeline import CallerGoneError, Exchange
+from teaselquay.pipeline import BodyDroppedError, CallerGoneError, Exchange
 
-#: Bytes of a body that are buffered for retries. A body that exceeds them is
-#: streamed to one upstream only.
+#: Bytes of a streamed body that are held for retries. A longer one can be sent
+#: to one upstream only.
 _MAX_REPLAY_BYTES = 1 << 20
 
 
+class Retention(Enum):
+    """Which parts of a request body are held after they have been sent."""
+
+    #: All parts, so that the body can be sent any number of times.
+    WHOLE = 'whole'
+    #: All parts of a body up to the replay limit, none of a longer one.
+    REPLAY = 'replay'
+
+
 class RequestBody:
     """Reads the caller's body, then waits for the caller to disconnect.
 
-    `caller_gone` is set at the disconnect.
+    `caller_gone` is set at the disconnect, and `received_bytes` is the length
+    of the body so far.
     """
 
-    def __init__(self, exchange: Exchange, max_bytes: int) -> None:
+    def __init__(
+        self,
+        exchange: Exchange,
+        max_bytes: int,
+        retention: Retention = Retention.WHOLE,
+    ) -> None:
         """Start reading the body of `exchange`, at most `max_bytes` long."""
         self.caller_gone = asyncio.Event()
         self.is_complete = not exchange.has_body()
+        self.received_bytes = 0
         self._exchange = exchange
         self._max_bytes = max_bytes
-        self._chunks: list[bytes] = []
-        self._received_bytes = 0
+        self._retention = retention
+        self._parts: list[bytes] = []
         self._dropped_count = 0
+        self._dropped_bytes = 0
         self._error: Exception | None = None
         self._has_changed = asyncio.Event()
         self._has_room = asyncio.Event()
@@ -40,51 +58,74 @@
     @property
     def buffered_bytes(self) -> int:
         """Return the size of the part of the body that is held."""
-        return sum(map(len, self._chunks))
+        return self.received_bytes - self._dropped_bytes
 
     def close(self) -> None:
         """Stop reading."""
         self._task.cancel()
 
-    async def read_whole(self) -> bytes:
-        """Return the whole body.
+    async def wait_complete(self) -> None:
+        """Wait until the whole body has been received.
 
         Raises:
             CallerGoneError: the caller left before the body was complete.
             RefusedError: the body exceeds its limit.
         """
-        return b''.join([chunk async for chunk in self.stream()])
+        while not self.is_complete:
+            await self._wait_for_change()
 
-    async def stream(self) -> AsyncIterator[bytes]:
-        """Yield the body from its start, in chunks as they arrive.
+    def open(self) -> AsyncIterator[bytes]:
+        """Return an iterator over the body from its start, as it arrives.
+
+        It raises CallerGoneError if the caller leaves before the body is
+        complete, RefusedError if the body exceeds its limit, and
+        BodyDroppedError if another iterator has made parts be dropped that
+        it has not yielded yet.
 
         Raises:
-            CallerGoneError: the caller left before the body was complete.
-            RefusedError: the body exceeds its limit.
+            BodyDroppedError: the start of the body is no longer held.
         """
+        if not self.can_replay:
+            raise BodyDroppedError
+        return self._iterate()
+
+    async def _iterate(self) -> AsyncIterator[bytes]:
         index = 0
         while True:
-            while index < len(self._chunks):
-                chunk = self._chunks[index]
+            while index < len(self._parts):
+                if index < self._dropped_count:
+                    raise BodyDroppedError
+                part = self._parts[index]
                 index += 1
-                if self._received_bytes > _MAX_REPLAY_BYTES:
+                if self._is_streamed():
                     self._drop_before(index)
-                yield chunk
-            if self._error is not None:
-                raise self._error
+                yield part
             if self.is_complete:
                 return
-            self._has_changed.clear()
-            await self._has_changed.wait()
+            await self._wait_for_change()
+
+    async def _wait_for_change(self) -> None:
+        if self._error is not None:
+            raise self._error
+        self._has_changed.clear()
+        await self._has_changed.wait()
+
+    def _is_streamed(self) -> bool:
+        """Return whether parts are dropped once they have been read."""
+        return (
+            self._retention is Retention.REPLAY
+            and self.received_bytes > _MAX_REPLAY_BYTES
+        )
 
     def _drop_before(self, index: int) -> None:
         for position in range(self._dropped_count, index):
-            self._chunks[position] = b''
+            self._dropped_bytes += len(self._parts[position])
+            self._parts[position] = b''
         self._dropped_count = index
         self._has_room.set()
 
     async def _read(self) -> None:
-        while True:
+        while self._error is None:
             message = await self._exchange.receive()
             if message['type'] == 'http.disconnect':
                 if not self.is_complete:
@@ -93,25 +134,22 @@
                 self._has_changed.set()
                 return
             self._append_message(message)
-            if (
-                self._received_bytes > _MAX_REPLAY_BYTES
-                and not self.is_complete
-            ):
+            if self._is_streamed() and not self.is_complete:
                 self._has_room.clear()
                 await self._has_room.wait()
 
-    def _append_message(self, message: object) -> None:
+    def _append_message(self, message: MutableMapping[str, object]) -> None:
         if self.is_complete:
             return
-        chunk = message.get('body', b'')  # type: ignore[attr-defined]
-        more = message.get('more_body', False)  # type: ignore[attr-defined]
-        self._chunks.append(chunk)
-        self._received_bytes += len(chunk)
-        if self._received_bytes > self._max_bytes:
+        part = message.get('body', b'')
+        assert isinstance(part, bytes)
+        if self.received_bytes + len(part) > self._max_bytes:
             self._error = _too_large(self._max_bytes)
-        elif not more:
-            self.is_complete = True
-            self._exchange.body_complete = True
+        else:
+            self._parts.append(part)
+            self.received_bytes += len(part)
+            self.is_complete = not message.get('more_body', False)
+            self._exchange.body_complete = self.is_complete
         self._has_changed.set()
 
 
--- a/teaselquay/gateway/_call.py
+++ b/teaselquay/gateway/_call.py
@@ -6,14 +6,17 @@
 
 from teaselquay.configuration import UpstreamRecord
 from teaselquay.coordination import Outcome, RateStatement
-from teaselquay.decisions import Instant, UpstreamName
+from teaselquay.decisions import Instant, RefusedError, UpstreamName
 from teaselquay.gateway._body import RequestBody
 from teaselquay.gateway._dialect import HeaderNames
 from teaselquay.gateway._rate_field import RateFieldError, parse_rate
 from teaselquay.pipeline import (
     NOT_FORWARDED,
+    BodyDroppedError,
+    BodyFramer,
+    BodyLengthError,
+    CallerGoneError,
     Exchange,
-    frame_part,
     request_head,
 )
 from teaselquay.shells import (
@@ -107,6 +110,18 @@
             return CallResult(Outcome.CANCELLED, False, reason)
         try:
             return await self._send_and_read_answer()
+        except (BodyDroppedError, BodyLengthError) as error:
+            # The upstream is not at fault, and got no whole request.
+            self.connection.close()
+            return CallResult(
+                Outcome.CANCELLED,
+                self.connection.sent,
+                f'the body cannot be sent: {error!r}',
+            )
+        except (CallerGoneError, RefusedError):
+            # The upstream waits for the rest of the body.
+            self.connection.close()
+            raise
         except BrokenAnswerError as error:
             return CallResult(
                 Outcome.BROKEN,
@@ -121,12 +136,12 @@
         """
         connection = self.connection
         self.connection = None
-        sender_done = self._sender is None or self._sender.done()
-        if self._sender is not None and not sender_done:
+        is_sent = self._is_request_sent()
+        if self._sender is not None:
             self._sender.cancel()
         if connection is None:
             return
-        if not sender_done:
+        if not is_sent:
             # The rest of the body has not been sent on this connection.
             connection.close()
             return
@@ -140,6 +155,15 @@
         if self.connection is not None:
             self.connection.close()
 
+    def _is_request_sent(self) -> bool:
+        """Return whether the whole request has been sent."""
+        sender = self._sender
+        if sender is None:
+            return True
+        if not sender.done() or sender.cancelled():
+            return False
+        return sender.exception() is None
+
     async def _connect(self) -> HttpConnection:
         address = Address.parse(self.target.upstream.address)
         now = self.clock.now()
@@ -198,17 +222,16 @@
         if not self.exchange.has_body():
             await self.connection.write(head)
             return
-        is_chunked = self.exchange.header(b'content-length') is None
+        parts = self.body.open()
+        framer = BodyFramer.from_exchange(self.exchange)
         if not self.body.is_complete:
             await self.connection.write(head)
             head = b''
-        async for chunk in self.body.stream():
-            if chunk:
-                await self.connection.write(
-                    head + frame_part(chunk, is_chunked)
-                )
+        async for part in parts:
+            if part:
+                await self.connection.write(head + framer.frame(part))
                 head = b''
-        end = b'0\r\n\r\n' if is_chunked else b''
+        end = framer.end(self.body.received_bytes)
         if head or end:
             await self.connection.write(head + end)
 
--- a/teaselquay/pipeline/__init__.py
+++ b/teaselquay/pipeline/__init__.py
@@ -7,6 +7,7 @@
 
 if TYPE_CHECKING:
     from teaselquay.pipeline._exchange import (
+        BodyDroppedError,
         CallerGoneError,
         Exchange,
         Receive,
@@ -15,8 +16,9 @@
     )
     from teaselquay.pipeline._framing import (
         NOT_FORWARDED,
+        BodyFramer,
+        BodyLengthError,
         check_lengths,
-        frame_part,
         request_head,
     )
     from teaselquay.pipeline._order import PIPELINE, Filter, Pipeline
@@ -26,6 +28,9 @@
 __all__ = (
     'NOT_FORWARDED',
     'PIPELINE',
+    'BodyDroppedError',
+    'BodyFramer',
+    'BodyLengthError',
     'CallerGoneError',
     'Exchange',
     'Filter',
@@ -36,13 +41,15 @@
     'Send',
     'ServiceQueues',
     'check_lengths',
-    'frame_part',
     'request_head',
 )
 
 __getattr__ = lazy_exports(
     sys.modules[__name__],
     {
+        'BodyDroppedError': '_exchange',
+        'BodyFramer': '_framing',
+        'BodyLengthError': '_framing',
         'CallerGoneError': '_exchange',
         'Exchange': '_exchange',
         'Filter': '_order',
@@ -55,7 +62,6 @@
         'Send': '_exchange',
         'ServiceQueues': '_queues',
         'check_lengths': '_framing',
-        'frame_part': '_framing',
         'request_head': '_framing',
     },
 )
--- a/teaselquay/pipeline/_exchange.py
+++ b/teaselquay/pipeline/_exchange.py
@@ -56,6 +56,10 @@
     """The caller closed its connection before the exchange ended."""
 
 
+class BodyDroppedError(Exception):
+    """Parts of the request body that are still to be sent are not held."""
+
+
 @dataclass(slots=True)
 class Exchange:
     """A request, the results of the filters, and the state of its response.
@@ -83,12 +87,14 @@
     run_state: Run = Run.NOT_RUN
     status: int = 0
     body: bytes = b''
+    #: Whether the whole request body has been received.
     body_complete: bool = False
     answer_started: bool = False
     close_after: bool = False
     traceparent: str = ''
     _end_hooks: list[EndHook] = field(default_factory=list)
-    _received_body_bytes: int = 0
+    received_body_bytes: int = 0
+    _is_body_streamed: bool = False
 
     @classmethod
     def from_scope(
@@ -135,6 +141,10 @@
             return int(length) > 0
         return self.header(b'transfer-encoding') is not None
 
+    def can_replay(self) -> bool:
+        """Return whether `body` is the whole request body."""
+        return self.body_complete and not self._is_body_streamed
+
     async def buffer_body(self, max_bytes: int) -> bool:
         """Read the body into `body`, and return whether it is complete.
 
@@ -157,12 +167,16 @@
         return self.body_complete
 
     async def read_remaining_body(self) -> AsyncIterator[bytes]:
-        """Yield the parts of the body that follow the buffered ones.
+        """Yield the parts of the body that follow the buffered ones, once.
 
         Raises:
+            BodyDroppedError: they have been read before, and are not held.
             CallerGoneError: the caller disconnected before its body ended.
             RefusedError: the body is larger than the route allows.
         """
+        if self._is_body_streamed:
+            raise BodyDroppedError
+        self._is_body_streamed = True
         while not self.body_complete:
             yield await self._receive_part()
 
@@ -229,8 +243,8 @@
             raise CallerGoneError
         part = message.get('body', b'')
         self.body_complete = not message.get('more_body', False)
-        self._received_body_bytes += len(part)
-        if self.route and self._received_body_bytes > self.route.max_body_bytes:
+        self.received_body_bytes += len(part)
+        if self.route and self.received_body_bytes > self.route.max_body_bytes:
             raise refuse(
                 ProblemKind.BODY_TOO_LARGE,
                 f'the route takes {self.route.max_body_bytes} bytes',
--- a/teaselquay/pipeline/_race.py
+++ b/teaselquay/pipeline/_race.py
@@ -239,7 +239,7 @@
     def _may_repeat(self) -> bool:
         return (
             self.route.idempotent
-            and self.exchange.body_complete
+            and self.exchange.can_replay()
             and self._attempt_count < _MAX_ATTEMPTS
         )
 
--- a/teaselquay/pipeline/_wire.py
+++ b/teaselquay/pipeline/_wire.py
@@ -14,7 +14,7 @@
 from teaselquay.pipeline._filters import recheck_key
 from teaselquay.pipeline._framing import (
     NOT_FORWARDED,
-    frame_part,
+    BodyFramer,
     request_head,
 )
 from teaselquay.pipeline._parts import Parts
@@ -32,6 +32,7 @@
     """Send the request after checking deadline, key and freshness again.
 
     Raises:
+        BodyDroppedError: the body was streamed before.
         BrokenAnswerError: the connection was lost.
         CallerGoneError: the caller disconnected before its body was complete.
         RefusedError: the request may no longer be sent.
@@ -48,7 +49,7 @@
         raise refuse(ProblemKind.STALE_CONFIGURATION)
     exchange.run_state = Run.UNKNOWN
     head = request_head(exchange, _header_fields(exchange, remaining_s))
-    if exchange.body_complete:
+    if exchange.can_replay():
         await connection.write(head + exchange.body)
         return
     try:
@@ -63,15 +64,16 @@
     connection: HttpConnection,
     head: bytes,
 ) -> None:
-    chunked = exchange.header(b'content-length') is None
+    framer = BodyFramer.from_exchange(exchange)
     await connection.write(head)
     if exchange.body:
-        await connection.write(frame_part(exchange.body, chunked))
+        await connection.write(framer.frame(exchange.body))
     async for part in exchange.read_remaining_body():
         if part:
-            await connection.write(frame_part(part, chunked))
-    if chunked:
-        await connection.write(b'0\r\n\r\n')
+            await connection.write(framer.frame(part))
+    end = framer.end(exchange.received_body_bytes)
+    if end:
+        await connection.write(end)
 
 
 def _header_fields(exchange: Exchange, remaining_s: float) -> Iterator[Header]:
@@ -90,6 +92,6 @@
         return [(b'content-length', length)]
     if not exchange.has_body():
         return []
-    if exchange.body_complete:
+    if exchange.can_replay():
         return [(b'content-length', b'%d' % len(exchange.body))]
     return [(b'transfer-encoding', b'chunked')]
--- a/tests/support/gateway_mutations.py
+++ b/tests/support/gateway_mutations.py
@@ -3,6 +3,30 @@
 from tests.support.mutation import Mutation
 
 GATEWAY_MUTATIONS = (
+    Mutation(
+        'unit/test_request_bodies.py',
+        'a body that must arrive whole is held whole',
+        'gateway/_body.py',
+        'self._retention is Retention.REPLAY',
+        'True',
+        'test_body_of_any_permitted_size_arrives_whole',
+    ),
+    Mutation(
+        'unit/test_request_bodies.py',
+        'a connection is reused only after a whole request',
+        'gateway/_call.py',
+        'return sender.exception() is None',
+        'return True',
+        'test_connection_with_a_body_that_failed_to_be_sent_is_not_reused',
+    ),
+    Mutation(
+        'unit/test_request_bodies.py',
+        'a streamed body is not repeated',
+        'pipeline/_race.py',
+        'and self.exchange.can_replay()',
+        'and self.exchange.body_complete',
+        'test_body_that_was_streamed_is_not_sent_again',
+    ),
     Mutation(
         'unit/test_gateway.py',
         'a request that may have run is not sent again',
