Send nothing to an upstream that says that it leaves

Callers' requests reached an upstream over 2 s after a VM had passed on an answer with Server-Leaving, and some were lost when it ended.

Cause: the field was not read; only the store told that an upstream leaves, and it was down. Ruled out: a coordinator that knows less than the VM (no placement was given back), and a late word of the store (it was down all the while).

Change: the head of an answer that says so makes the upstream unusable on that VM at once, whatever the store or a peer says, until the store lists a later process of it. Coordinators and two successors are told with each report on the upstream. Two events and a metric tell of it; malformed values change nothing.

--- a/teaselquay/coordination/__init__.py
+++ b/teaselquay/coordination/__init__.py
@@ -7,6 +7,7 @@
 )
 from teaselquay.coordination._budget import RepeatPolicy
 from teaselquay.coordination._knowledge import UnusedUpstream
+from teaselquay.coordination._leaving import LeavingUpstreams
 from teaselquay.coordination._placement import (
     Outcome,
     Placement,
@@ -30,6 +31,7 @@
     'Admission',
     'SUSPICION_THRESHOLD',
     'Belief',
+    'LeavingUpstreams',
     'LimitChange',
     'LimitShare',
     'Outcome',
--- a/teaselquay/fleet/_coordinators.py
+++ b/teaselquay/fleet/_coordinators.py
@@ -10,7 +10,7 @@
 from random import Random
 from typing import Any, Callable
 
-from teaselquay.configuration import TeamRule
+from teaselquay.configuration import TeamRule, UpstreamRecord
 from teaselquay.coordination import (
     Admission,
     Outcome,
@@ -209,18 +209,30 @@
     def report_attempt(self, result: AttemptResult) -> None:
         """Record an attempt, and report it to the coordinator.
 
-        Failures and limits are also sent to its successors, so that they
-        survive a change of coordinator.
+        Failures, and what the upstream says of itself, are also sent to its
+        successors, so that they survive a change of coordinator. That it
+        leaves is reported with each attempt, which tells coordinators that
+        have placed without knowing it.
         """
+        result = replace(
+            result,
+            leaving_start_ms=self.state.leaving_start_ms(result.upstream),
+        )
         self._record_attempt(result, self.vm)
         subject = f'service-{result.service}'
         ranked = self.directory.coordinators_for(subject, self.clock.now())
         recipients = 1
-        if result.outcome in _REPLICATED_OUTCOMES or _names_limit(result):
+        if result.outcome in _REPLICATED_OUTCOMES or _has_statement(result):
             recipients += _SUCCESSOR_COUNT
         for vm in ranked[:recipients]:
             self._send(vm, 'finished', attempt_fields(result))
 
+    def record_leaving(self, upstream: UpstreamRecord) -> None:
+        """Record an answer of `upstream` that says that it leaves."""
+        self.state.record_leaving(
+            upstream.name, upstream.started_ms, self.clock.now(), self.vm
+        )
+
     def report_refusal(self, service: ServiceName) -> None:
         """Report a request that was refused without asking for a placement."""
         now = self.clock.now()
@@ -391,6 +403,10 @@
             self._limit_exchange.log_change(
                 result.service, result.upstream, change, reporter
             )
+        if result.leaving_start_ms is not None:
+            self.state.record_leaving(
+                result.upstream, result.leaving_start_ms, now, reporter
+            )
         suspicion_after = scheduler.in_spell(result.upstream, now)
         if suspicion_before < SUSPICION_THRESHOLD <= suspicion_after:
             self.journal.emit(
@@ -558,9 +574,11 @@
             scheduler.forget_missing(records, now)
 
 
-def _names_limit(result: AttemptResult) -> bool:
+def _has_statement(result: AttemptResult) -> bool:
+    """Return whether the upstream leaves, or names a limit."""
     statement = result.rate_statement
-    return statement is not None and statement.rate is not None
+    names_limit = statement is not None and statement.rate is not None
+    return names_limit or result.leaving_start_ms is not None
 
 
 def _unused_fields(unused: UnusedUpstream) -> dict[str, object]:
--- a/teaselquay/fleet/_exchanges.py
+++ b/teaselquay/fleet/_exchanges.py
@@ -37,6 +37,8 @@
     fingerprint: bytes = b''
     #: What the answer says of a limit of the upstream, if anything.
     rate_statement: RateStatement | None = None
+    #: Start of the process of the upstream that is known to leave, if any.
+    leaving_start_ms: int | None = None
 
 
 def _to_ms(seconds: float) -> int:
@@ -132,6 +134,8 @@
         'outcome': result.outcome.value,
         'latencyMs': _to_ms(result.latency_s),
         'fingerprint': result.fingerprint,
+        'isLeaving': result.leaving_start_ms is not None,
+        'leavingStartMs': result.leaving_start_ms or 0,
         **_statement_fields(result.rate_statement),
     }
 
@@ -146,6 +150,7 @@
         latency_s=body.latencyMs / MS_PER_S,
         fingerprint=bytes(body.fingerprint),
         rate_statement=_parse_statement(body),
+        leaving_start_ms=body.leavingStartMs if body.isLeaving else None,
     )
 
 
--- a/teaselquay/fleet/_state.py
+++ b/teaselquay/fleet/_state.py
@@ -11,6 +11,7 @@
     UpstreamState,
     VmRecord,
 )
+from teaselquay.coordination import LeavingUpstreams
 from teaselquay.decisions import (
     Entry,
     EntryError,
@@ -91,6 +92,7 @@
     #: Entries that are older than what is in force, by key.
     _overruled_by_key: dict[str, Entry] = field(default_factory=dict)
     _restores: RestoreGuard = field(default_factory=RestoreGuard)
+    _leaving: LeavingUpstreams = field(default_factory=LeavingUpstreams)
     #: End of the grace period of entries that are missing, by key.
     _retained_until: dict[str, Instant] = field(default_factory=dict)
     _listeners: list[Listener] = field(default_factory=list)
@@ -111,7 +113,40 @@
     def is_usable(self, name: UpstreamName) -> bool:
         """Return whether the upstream `name` accepts new requests."""
         record = self.upstreams_by_name.get(name)
-        return record is not None and record.state is UpstreamState.READY
+        return record is not None and self._accepts_requests(record)
+
+    def is_leaving(self, record: UpstreamRecord) -> bool:
+        """Return whether the upstream in `record` said that it leaves."""
+        return self._leaving.includes(record)
+
+    def leaving_start_ms(self, name: UpstreamName) -> int | None:
+        """Return the start of the process `name` that leaves, else None."""
+        return self._leaving.start_of(name)
+
+    def record_leaving(
+        self,
+        name: UpstreamName,
+        started_ms: int,
+        now: Instant,
+        told_by: VmName,
+    ) -> None:
+        """Record an answer of an upstream that says that it leaves.
+
+        `told_by` is the VM that got the answer.
+        """
+        record = self.upstreams_by_name.get(name)
+        if record is not None and started_ms < record.started_ms:
+            # An earlier process of the upstream said so.
+            return
+        if self._leaving.record(name, started_ms, now):
+            self.journal.emit(
+                Event.UPSTREAM_LEAVING,
+                upstream=name,
+                service=record.service if record else None,
+                started_ms=started_ms,
+                told_by=told_by,
+            )
+            self._index()
 
     def apply(
         self,
@@ -151,6 +186,7 @@
         after a restore, and not written again, are applied.
         """
         self._restores.forget_departures(now)
+        self._leaving.forget_missing(self.upstreams_by_name, now)
         self._apply_overruled(now)
         stable_s = self._restores.stable_s(store_stable_s, now)
         is_stable = stable_s >= _RESTORE_GRACE_S
@@ -239,6 +275,16 @@
     def _put_upstream(self, record: UpstreamRecord, entry: Entry) -> None:
         previous = self.upstreams_by_name.get(record.name)
         self.upstreams_by_name[record.name] = record
+        leaving_start_ms = self._leaving.start_of(record.name)
+        if leaving_start_ms is not None and not self.is_leaving(record):
+            self._leaving.discard(record.name)
+            self.journal.emit(
+                Event.UPSTREAM_RESTARTED,
+                upstream=record.name,
+                service=record.service,
+                started_ms=record.started_ms,
+                left_ms=leaving_start_ms,
+            )
         if previous is None or previous.state is not record.state:
             self.journal.emit(
                 Event.UPSTREAM_CHANGED if previous else Event.UPSTREAM_ADDED,
@@ -277,10 +323,14 @@
             self._restores.record_departure(record, now)
             self.journal.emit(Event.UPSTREAM_REMOVED, upstream=name)
 
+    def _accepts_requests(self, record: UpstreamRecord) -> bool:
+        is_ready = record.state is UpstreamState.READY
+        return is_ready and not self.is_leaving(record)
+
     def _index(self) -> None:
         by_service: dict[ServiceName, list[UpstreamRecord]] = {}
         for record in self.upstreams_by_name.values():
-            if record.state is UpstreamState.READY:
+            if self._accepts_requests(record):
                 by_service.setdefault(record.service, []).append(record)
         previous = self._usable_by_service
         self._usable_by_service = {}
--- a/teaselquay/gateway/_call.py
+++ b/teaselquay/gateway/_call.py
@@ -9,7 +9,11 @@
 from teaselquay.decisions import Instant, RefusedError, UpstreamName
 from teaselquay.gateway._body import RequestBody
 from teaselquay.gateway._dialect import HeaderNames
-from teaselquay.gateway._rate_field import RateFieldError, parse_rate
+from teaselquay.gateway._statements import (
+    StatementError,
+    parse_leaving,
+    parse_rate,
+)
 from teaselquay.pipeline import (
     NOT_FORWARDED,
     BodyDroppedError,
@@ -79,6 +83,8 @@
     clock: Clock
     #: Returns whether an upstream accepts new requests.
     is_usable: Callable[[UpstreamName], bool]
+    #: Records an answer that says that its upstream leaves.
+    record_leaving: Callable[[UpstreamRecord], None]
     connection: HttpConnection | None = None
     is_reused: bool = False
     #: How long a reused connection had been idle, in seconds.
@@ -88,6 +94,8 @@
     rate_statement: RateStatement | None = None
     #: Why the limit that it names cannot be read, or an empty string.
     rate_error: str = ''
+    #: Why it cannot be read whether the upstream leaves, or an empty string.
+    leaving_error: str = ''
     _sender: 'asyncio.Task[None] | None' = None
     _buffered: list[bytes] = field(default_factory=list)
 
@@ -192,7 +200,9 @@
             self.connection.close()
             reason = 'the answer belongs to another request'
             return CallResult(Outcome.BROKEN, True, reason)
-        self._read_rate_statement(head)
+        if self._speaks_for_upstream(head):
+            self._read_rate(head)
+            self._read_leaving(head)
         declined_result = self._declined_result(head)
         if declined_result is not None:
             return declined_result
@@ -290,30 +300,47 @@
         """Return the result if the upstream declined the request, else None."""
         if head.status == _MISDIRECTED_STATUS:
             outcome = Outcome.MISDIRECTED
-        elif head.field(self.header_names.not_executed) is None:
-            return None
-        else:
+        elif self._was_declined(head):
             outcome = Outcome.SHED
+        else:
+            return None
         assert self.connection is not None
         self.connection.close()
         return CallResult(outcome, False, f'status {head.status}', head)
 
-    def _read_rate_statement(self, head: AnswerHead) -> None:
-        """Read what `head` says of a limit of the upstream.
+    def _speaks_for_upstream(self, head: AnswerHead) -> bool:
+        """Return whether `head` tells something of the upstream.
 
-        Only an answer to a request that ran says that there is none. One from
-        another upstream, or without the mark of any, says nothing.
+        One of another upstream, or without the mark of any, does not.
         """
         has_run = head.field(self.header_names.stamp) is not None
-        was_declined = head.field(self.header_names.not_executed) is not None
-        if head.status == _MISDIRECTED_STATUS or not (has_run or was_declined):
+        is_misdirected = head.status == _MISDIRECTED_STATUS
+        return not is_misdirected and (has_run or self._was_declined(head))
+
+    def _was_declined(self, head: AnswerHead) -> bool:
+        return head.field(self.header_names.not_executed) is not None
+
+    def _read_leaving(self, head: AnswerHead) -> None:
+        """Record at once if the upstream leaves."""
+        try:
+            is_leaving = parse_leaving(head.headers, self.header_names.leaving)
+        except StatementError as error:
+            self.leaving_error = str(error)
             return
+        if is_leaving:
+            self.record_leaving(self.target.upstream)
+
+    def _read_rate(self, head: AnswerHead) -> None:
+        """Read what `head` says of a limit of the upstream.
+
+        Only an answer to a request that ran says that there is none.
+        """
         try:
             rate = parse_rate(head.headers, self.header_names.rate_limit)
-        except RateFieldError as error:
+        except StatementError as error:
             self.rate_error = str(error)
             return
-        if rate is not None or not was_declined:
+        if rate is not None or not self._was_declined(head):
             started_ms = self.target.upstream.started_ms
             self.rate_statement = RateStatement(rate, started_ms)
 
--- a/teaselquay/gateway/_collector.py
+++ b/teaselquay/gateway/_collector.py
@@ -1,5 +1,6 @@
 """Metrics that are read from the components of a VM at each scrape."""
 
+from collections import Counter
 from dataclasses import dataclass, field
 from typing import Iterable, Protocol
 
@@ -70,6 +71,7 @@
             self.link.octets,
         )
         yield from self._services()
+        yield self._leaving()
         yield from self._limits()
 
     def _version(self) -> Metric:
@@ -129,6 +131,22 @@
             budget_metric.add_metric((service,), scheduler.second_sends_left())
         return usable_metric, suspected_metric, budget_metric
 
+    def _leaving(self) -> Metric:
+        metric = GaugeMetricFamily(
+            'teaselquay_leaving_upstreams',
+            'Listed upstreams that said in an answer that they leave.',
+            labels=_SERVICE_LABELS,
+        )
+        state = self.member.state
+        counts = Counter(
+            record.service
+            for record in state.upstreams_by_name.values()
+            if state.is_leaving(record)
+        )
+        for service in self.member.coordinators.services():
+            metric.add_metric([service], counts[service])
+        return metric
+
     def _limits(self) -> Iterable[Metric]:
         limited_metric = GaugeMetricFamily(
             'teaselquay_limited_upstreams',
--- a/teaselquay/gateway/_dialect.py
+++ b/teaselquay/gateway/_dialect.py
@@ -24,3 +24,6 @@
     #: Requests per second that an upstream takes from all callers together,
     #: as a decimal number, for as long as its answers state it.
     rate_limit: bytes = b'x-rate-limit'
+    #: Whether an upstream leaves, as 1 or 0. One that does takes no more
+    #: requests.
+    leaving: bytes = b'x-leaving'
--- a/teaselquay/gateway/_dispatch.py
+++ b/teaselquay/gateway/_dispatch.py
@@ -261,6 +261,7 @@
             self.parts.pool,
             self.parts.clock,
             self.parts.state.is_usable,
+            self.parts.coordinators.record_leaving,
             began=self.parts.clock.now(),
         )
         self._tried.add(upstream.name)
@@ -460,12 +461,12 @@
         """
         call = attempt.call
         upstream = call.target.upstream
-        if call.rate_error:
-            self._log(
-                Event.LIMIT_REJECTED,
-                upstream=upstream.name,
-                reason=call.rate_error,
-            )
+        for event, reason in (
+            (Event.LIMIT_REJECTED, call.rate_error),
+            (Event.LEAVING_REJECTED, call.leaving_error),
+        ):
+            if reason:
+                self._log(event, upstream=upstream.name, reason=reason)
         statement = call.rate_statement
         if statement is None or statement.rate is not None:
             return statement
--- /dev/null
+++ b/teaselquay/gateway/_statements.py
@@ -0,0 +1,74 @@
+"""Reading of the header fields in which upstreams speak of themselves."""
+
+import re
+from typing import Iterable
+
+from teaselquay.shells import Header
+
+_DECIMAL = re.compile(rb'\d{1,18}(\.\d{1,18})?')
+_LEAVING_BY_TEXT = {b'1': True, b'0': False}
+
+#: Bytes of a malformed value that an error shows.
+_MAX_SHOWN_BYTES = 40
+
+
+class StatementError(ValueError):
+    """A field is malformed, or several of the same name differ."""
+
+
+def parse_rate(headers: Iterable[Header], name: bytes) -> float | None:
+    """Return the rate in the field `name` of an answer, None without one.
+
+    The rate is in requests per second.
+
+    Raises:
+        StatementError: the field is malformed.
+
+    >>> parse_rate([(b'x-rate-limit', b'1.5')], b'x-rate-limit')
+    1.5
+    >>> parse_rate([(b'x-rate-limit', b'-1')], b'x-rate-limit')
+    Traceback (most recent call last):
+    teaselquay.gateway._statements.StatementError: not a decimal number: -1
+    """
+    text = _single_value(headers, name)
+    if text is None:
+        return None
+    if _DECIMAL.fullmatch(text) is None:
+        raise StatementError(f'not a decimal number: {_shown(text)}')
+    return float(text)
+
+
+def parse_leaving(headers: Iterable[Header], name: bytes) -> bool:
+    """Return whether the field `name` says that the upstream leaves.
+
+    Raises:
+        StatementError: the field is malformed.
+
+    >>> parse_leaving([(b'x-leaving', b'1')], b'x-leaving')
+    True
+    >>> parse_leaving([], b'x-leaving')
+    False
+    """
+    text = _single_value(headers, name)
+    if text is None:
+        return False
+    is_leaving = _LEAVING_BY_TEXT.get(text)
+    if is_leaving is None:
+        raise StatementError(f'neither 0 nor 1: {_shown(text)}')
+    return is_leaving
+
+
+def _single_value(headers: Iterable[Header], name: bytes) -> bytes | None:
+    """Return the value of the fields called `name`, None without any.
+
+    Raises:
+        StatementError: they differ.
+    """
+    values = {text.strip() for found, text in headers if found == name}
+    if len(values) > 1:
+        raise StatementError('several values that differ')
+    return values.pop() if values else None
+
+
+def _shown(text: bytes) -> str:
+    return text[:_MAX_SHOWN_BYTES].decode('latin-1')
--- a/teaselquay/platform/_settings.py
+++ b/teaselquay/platform/_settings.py
@@ -34,6 +34,7 @@
     not_executed=b'x-not-executed',
     stamp=b'x-response-stamp',
     rate_limit=b'server-limit',
+    leaving=b'server-leaving',
 )
 
 
--- a/teaselquay/shells/messages.capnp
+++ b/teaselquay/shells/messages.capnp
@@ -246,6 +246,9 @@
   limit @6 :LimitKind;
   rate @7 :Float64;
   startedMs @8 :UInt64;
+  # The process of the upstream that started at `leavingStartMs` leaves.
+  isLeaving @9 :Bool;
+  leavingStartMs @10 :UInt64;
 }
 
 enum LimitKind {
--- a/tests/support/gateway_mutations.py
+++ b/tests/support/gateway_mutations.py
@@ -3,6 +3,30 @@
 from tests.support.mutation import Mutation
 
 GATEWAY_MUTATIONS = (
+    Mutation(
+        'unit/test_leaving_answers.py',
+        'an upstream that says that it leaves is not used',
+        'fleet/_state.py',
+        'return is_ready and not self.is_leaving(record)',
+        'return is_ready',
+        'test_upstream_that_says_that_it_leaves_gets_no_more_requests',
+    ),
+    Mutation(
+        'unit/test_leaving_answers.py',
+        'coordinators are told of leaving upstreams',
+        'fleet/_exchanges.py',
+        "'isLeaving': result.leaving_start_ms is not None",
+        "'isLeaving': False",
+        'test_coordinators_learn_of_a_leaving_upstream_while_the_store_is_down',
+    ),
+    Mutation(
+        'unit/test_leaving_answers.py',
+        'only another process ends that an upstream leaves',
+        'coordination/_leaving.py',
+        'record.started_ms <= known.started_ms',
+        'False',
+        'test_leaving_upstream_that_lapses_and_is_listed_again_stays_unused',
+    ),
     Mutation(
         'unit/test_request_bodies.py',
         'a body that must arrive whole is held whole',
--- a/tests/unit/test_rate_limits.py
+++ b/tests/unit/test_rate_limits.py
@@ -32,7 +32,7 @@
     ZoneName,
 )
 from teaselquay.fleet import AttemptResult
-from teaselquay.gateway._rate_field import RateFieldError, parse_rate
+from teaselquay.gateway._statements import StatementError, parse_rate
 from tests.support.gateway import (
     Gateway,
     Handler,
@@ -101,12 +101,12 @@
     ],
 )
 def test_malformed_limit_is_rejected(text: bytes):
-    with pytest.raises(RateFieldError):
+    with pytest.raises(StatementError):
         parse_rate([(FIELD, text)], FIELD)
 
 
 def test_limits_that_differ_are_rejected():
-    with pytest.raises(RateFieldError):
+    with pytest.raises(StatementError):
         parse_rate([(FIELD, b'1'), (FIELD, b'2')], FIELD)
 
 
--- a/tests/unit/test_request_bodies.py
+++ b/tests/unit/test_request_bodies.py
@@ -258,6 +258,7 @@
             Pool(),
             SystemClock(),
             lambda _: True,
+            lambda _: None,
             Connection(),
         )
         connection = call.connection
