Hold bodies in one buffer, however small their chunks are

Other operators saw a faulty server's endless bytes take a machine's memory, and with it the requests of other clients.

Cause: the limits count payload, while answers and request bodies were held as the parser delivers them: an object for each chunk of 2 bytes, over twenty times the size. Heads, status lines, extensions and interim answers end at a limit already.

Change: bytes that arrived are held in one buffer, in the connection, the attempt and the request body. A head may have 1,000 fields, and limits are checked each 64 KiB.

--- a/teaselquay/gateway/_body.py
+++ b/teaselquay/gateway/_body.py
@@ -10,6 +10,8 @@
 #: Bytes of a streamed body that are held for retries. A longer one can be sent
 #: to one upstream only.
 _MAX_REPLAY_BYTES = 1 << 20
+#: Bytes of a body that are sent at once.
+_MAX_PART_BYTES = 1 << 16
 
 
 class Retention(Enum):
@@ -41,8 +43,8 @@
         self._exchange = exchange
         self._max_bytes = max_bytes
         self._retention = retention
-        self._parts: list[bytes] = []
-        self._dropped_count = 0
+        #: The bytes of the body from `_dropped_bytes` on.
+        self._buffer = bytearray()
         self._dropped_bytes = 0
         self._error: Exception | None = None
         self._has_changed = asyncio.Event()
@@ -53,12 +55,12 @@
     @property
     def can_replay(self) -> bool:
         """Return whether the body can still be sent from its start."""
-        return not self._dropped_count
+        return not self._dropped_bytes
 
     @property
     def buffered_bytes(self) -> int:
         """Return the size of the part of the body that is held."""
-        return self.received_bytes - self._dropped_bytes
+        return len(self._buffer)
 
     def close(self) -> None:
         """Stop reading."""
@@ -90,20 +92,29 @@
         return self._iterate()
 
     async def _iterate(self) -> AsyncIterator[bytes]:
-        index = 0
+        position = 0
         while True:
-            while index < len(self._parts):
-                if index < self._dropped_count:
-                    raise BodyDroppedError
-                part = self._parts[index]
-                index += 1
+            while position < self.received_bytes:
+                part = self._held_from(position)
+                position += len(part)
                 if self._is_streamed():
-                    self._drop_before(index)
+                    self._drop_before(position)
                 yield part
             if self.is_complete:
                 return
             await self._wait_for_change()
 
+    def _held_from(self, position: int) -> bytes:
+        """Return a part of the body that begins at `position`.
+
+        Raises:
+            BodyDroppedError: it is no longer held.
+        """
+        begin = position - self._dropped_bytes
+        if begin < 0:
+            raise BodyDroppedError
+        return bytes(self._buffer[begin : begin + _MAX_PART_BYTES])
+
     async def _wait_for_change(self) -> None:
         if self._error is not None:
             raise self._error
@@ -117,11 +128,9 @@
             and self.received_bytes > _MAX_REPLAY_BYTES
         )
 
-    def _drop_before(self, index: int) -> None:
-        for position in range(self._dropped_count, index):
-            self._dropped_bytes += len(self._parts[position])
-            self._parts[position] = b''
-        self._dropped_count = index
+    def _drop_before(self, position: int) -> None:
+        del self._buffer[: position - self._dropped_bytes]
+        self._dropped_bytes = position
         self._has_room.set()
 
     async def _read(self) -> None:
@@ -146,7 +155,7 @@
         if self.received_bytes + len(part) > self._max_bytes:
             self._error = _too_large(self._max_bytes)
         else:
-            self._parts.append(part)
+            self._buffer += part
             self.received_bytes += len(part)
             self.is_complete = not message.get('more_body', False)
             self._exchange.body_complete = self.is_complete
--- a/teaselquay/gateway/_call.py
+++ b/teaselquay/gateway/_call.py
@@ -97,7 +97,7 @@
     #: Why it cannot be read whether the upstream leaves, or an empty string.
     leaving_error: str = ''
     _sender: 'asyncio.Task[None] | None' = None
-    _buffered: list[bytes] = field(default_factory=list)
+    _buffer: bytearray = field(default_factory=bytearray)
 
     async def run(self) -> CallResult:
         """Send the request and return the result of the attempt.
@@ -371,16 +371,18 @@
         if head.status >= _FIRST_SERVER_ERROR:
             outcome = Outcome.FAILED
         reason = f'status {head.status}'
-        chunks = self.connection.read_body()
-        buffered_bytes = 0
-        async for chunk in chunks:
-            self._buffered.append(chunk)
-            buffered_bytes += len(chunk)
-            if buffered_bytes > _MAX_BUFFERED_BYTES:
-                body = b''.join(self._buffered)
-                return CallResult(outcome, True, reason, head, body, chunks)
-        body = b''.join(self._buffered)
-        return CallResult(outcome, True, reason, head, body)
+        parts = self.connection.read_body()
+        async for part in parts:
+            self._buffer += part
+            if len(self._buffer) > _MAX_BUFFERED_BYTES:
+                body = self._take_buffer()
+                return CallResult(outcome, True, reason, head, body, parts)
+        return CallResult(outcome, True, reason, head, self._take_buffer())
+
+    def _take_buffer(self) -> bytes:
+        body = bytes(self._buffer)
+        self._buffer.clear()
+        return body
 
 
 def _connection_fields(exchange: Exchange) -> set[bytes]:
--- a/teaselquay/shells/_http.py
+++ b/teaselquay/shells/_http.py
@@ -22,6 +22,10 @@
 #: Limit for the head of an answer and for the bytes between two parts of its
 #: body, a multiple of the limit for the heads of requests.
 _MAX_HEAD_BYTES = 1 << 16
+#: Limit for the number of fields of a head and of trailers.
+_MAX_HEAD_FIELDS = 1000
+#: Bytes that are parsed before the limits are checked again.
+_MAX_PARSED_AT_ONCE_BYTES = 1 << 16
 #: Limit for a document of an external system. It leaves room for several
 #: changes of a value of maximum size, a mebibyte, in base64.
 MAX_DOCUMENT_BYTES = 1 << 24
@@ -78,8 +82,10 @@
         self._parser: httptools.HttpResponseParser | None = None
         self._headers: list[Header] = []
         self._head: asyncio.Future[AnswerHead] | None = None
-        self._chunks: deque[bytes] = deque()
-        self._buffered_bytes = 0
+        self._field_count = 0
+        #: Body bytes that have not been read yet. One buffer holds them, as an
+        #: object for each chunk would cost many times its size.
+        self._buffer = bytearray()
         self._bytes_since_body = 0
         self._body_changed = asyncio.Event()
         self._writable = asyncio.Event()
@@ -132,8 +138,8 @@
         self._parser = httptools.HttpResponseParser(self)
         self._headers = []
         self._head = asyncio.get_running_loop().create_future()
-        self._chunks.clear()
-        self._buffered_bytes = 0
+        self._field_count = 0
+        self._buffer = bytearray()
         self._bytes_since_body = 0
         self._complete = False
         self._keep_alive = False
@@ -176,18 +182,18 @@
         self,
         stall_s: float | None = None,
     ) -> AsyncIterator[bytes]:
-        """Yield the parts of the body.
+        """Yield the body as it arrives; what came since is one part.
 
         Raises:
             BrokenAnswerError: the body is incomplete, or no data arrived
                 for `stall_s` seconds.
         """
         while True:
-            while self._chunks:
-                chunk = self._chunks.popleft()
-                self._buffered_bytes -= len(chunk)
+            while self._buffer:
+                part = bytes(self._buffer)
+                self._buffer.clear()
                 self._resume_reading()
-                yield chunk
+                yield part
             if self._error is not None:
                 raise self._error
             if self._complete:
@@ -206,14 +212,12 @@
             BrokenAnswerError: the body is incomplete, or longer than
                 `max_bytes`.
         """
-        parts: list[bytes] = []
-        length = 0
+        body = bytearray()
         async for part in self.read_body():
-            parts.append(part)
-            length += len(part)
-            if length > max_bytes:
+            body += part
+            if len(body) > max_bytes:
                 self._fail(f'the body is too long, over {max_bytes} bytes')
-        return b''.join(parts)
+        return bytes(body)
 
     # Callbacks of asyncio.Protocol.
 
@@ -233,6 +237,13 @@
             # They belong to no request. A complete answer can still be read.
             self.close()
             return
+        for begin in range(0, len(data), _MAX_PARSED_AT_ONCE_BYTES):
+            self._parse(data[begin : begin + _MAX_PARSED_AT_ONCE_BYTES])
+            if self._closed:
+                return
+
+    def _parse(self, data: bytes) -> None:
+        assert self._parser is not None
         self._bytes_since_body += len(data)
         try:
             self._parser.feed_data(data)
@@ -242,7 +253,7 @@
             return
         if self._bytes_since_body > _MAX_HEAD_BYTES and not self._complete:
             self._fail('a head, or what follows it, is too long')
-        elif self._buffered_bytes > _HIGH_WATER_BYTES and self._transport:
+        elif len(self._buffer) > _HIGH_WATER_BYTES and self._transport:
             self._transport.pause_reading()
 
     def eof_received(self) -> bool:
@@ -272,7 +283,12 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header field; trailers are ignored."""
-        if self._is_after_answer() or self._head_is_read():
+        if self._is_after_answer():
+            return
+        self._field_count += 1
+        if self._field_count == _MAX_HEAD_FIELDS + 1:
+            self._fail(f'a head has over {_MAX_HEAD_FIELDS} fields')
+        if self._head_is_read():
             return
         self._headers.append((name.lower(), value))
 
@@ -298,8 +314,7 @@
         if self._is_after_answer():
             return
         self._bytes_since_body = 0
-        self._chunks.append(body)
-        self._buffered_bytes += len(body)
+        self._buffer += body
         self._body_changed.set()
 
     def on_message_complete(self) -> None:
@@ -346,7 +361,7 @@
         self.close()
 
     def _resume_reading(self) -> None:
-        if self._buffered_bytes <= _HIGH_WATER_BYTES and self._transport:
+        if len(self._buffer) <= _HIGH_WATER_BYTES and self._transport:
             if not self._closed:
                 self._transport.resume_reading()
 
--- a/tests/support/gateway_mutations.py
+++ b/tests/support/gateway_mutations.py
@@ -3,6 +3,14 @@
 from tests.support.mutation import Mutation
 
 GATEWAY_MUTATIONS = (
+    Mutation(
+        'unit/test_endless_answers.py',
+        'the number of fields of a head is limited',
+        'shells/_http.py',
+        'if self._field_count == _MAX_HEAD_FIELDS + 1:',
+        'if False:',
+        'test_number_of_fields_is_limited',
+    ),
     Mutation(
         'unit/test_leaving_answers.py',
         'an upstream that says that it leaves is not used',
--- a/tests/unit/test_endless_answers.py
+++ b/tests/unit/test_endless_answers.py
@@ -6,16 +6,24 @@
 
 import asyncio
 import time
-from typing import Callable
+import tracemalloc
+from typing import Awaitable, Callable
 
 import pytest
 
 from teaselquay.configuration import RouteKind
+from teaselquay.decisions import Instant
+from teaselquay.gateway import HeaderNames
+from teaselquay.gateway._body import RequestBody
+from teaselquay.gateway._call import UpstreamCall
+from teaselquay.pipeline import Exchange
 from teaselquay.shells import (
     Address,
+    BrokenAnswerError,
     ExchangeError,
     HttpConnection,
     JsonClient,
+    SystemClock,
 )
 from tests.standins.listener import Listener
 from tests.support.gateway import (
@@ -167,6 +175,130 @@
     run_with(configuration(timeout_s=_TIMEOUT_S), handlers, check)
 
 
+def _answer_in_pieces(*pieces: bytes) -> HttpConnection:
+    """Return a connection that has received `pieces`."""
+    connection = HttpConnection()
+    connection.begin('GET')
+    for piece in pieces:
+        connection.data_received(piece)
+    return connection
+
+
+def test_small_chunks_are_held_as_one_part():
+    async def main() -> list[bytes]:
+        connection = _answer_in_pieces(
+            _STATUS_LINE + b'transfer-encoding: chunked\r\n\r\n',
+            b'1\r\na\r\n' * 1000,
+            b'1\r\nb\r\n' * 1000,
+            _LAST_CHUNK,
+        )
+        return [part async for part in connection.read_body()]
+
+    assert asyncio.run(main()) == [b'a' * 1000 + b'b' * 1000]
+
+
+@pytest.mark.parametrize('count', [1000, 1001])
+def test_number_of_fields_is_limited(count: int):
+    async def main() -> int:
+        connection = _answer_in_pieces(
+            _STATUS_LINE, b'x: y\r\n' * count, b'\r\n'
+        )
+        return len((await connection.read_head()).headers)
+
+    if count > 1000:
+        with pytest.raises(BrokenAnswerError, match='fields'):
+            asyncio.run(main())
+    else:
+        assert asyncio.run(main()) == count
+
+
+#: Payload in the tests of memory, and the bound on what holds it: the payload,
+#: a copy of it, and its buffer's spare room.
+_PAYLOAD_BYTES = 1 << 17
+_MAX_HELD_BYTES = 3 * _PAYLOAD_BYTES
+_CHUNKED_HEAD = (
+    _STATUS_LINE + b'x-answer-stamp: s\r\ntransfer-encoding: chunked\r\n\r\n'
+)
+
+
+def _traced_bytes(test: Callable[[], Awaitable[object]]) -> int:
+    """Return the memory that is allocated while `test` returns an object."""
+
+    async def main() -> int:
+        tracemalloc.start()
+        try:
+            held = await test()
+            held_bytes, _ = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        del held
+        return held_bytes
+
+    return asyncio.run(main())
+
+
+def test_small_chunks_cost_about_the_memory_of_their_payload():
+    # An object for each chunk cost a VM all of its memory.
+    async def receive() -> HttpConnection:
+        return _answer_in_pieces(
+            _CHUNKED_HEAD, b'2\r\nab\r\n' * (_PAYLOAD_BYTES // 2)
+        )
+
+    assert _traced_bytes(receive) <= _MAX_HELD_BYTES
+
+
+def test_small_chunks_that_come_one_by_one_cost_no_more():
+    connection = HttpConnection()
+
+    async def receive() -> UpstreamCall:
+        connection.begin('GET')
+        connection.data_received(_CHUNKED_HEAD)
+        call = UpstreamCall(
+            None,
+            None,
+            None,
+            HeaderNames(),
+            None,
+            SystemClock(),
+            lambda _: True,
+            lambda _: None,
+            connection,
+        )
+        head = await connection.read_head()
+        reading = asyncio.create_task(call._read_answer(head))
+        for _ in range(_PAYLOAD_BYTES // 2):
+            connection.data_received(b'2\r\nab\r\n')
+            await asyncio.sleep(0)
+        reading.cancel()
+        return call
+
+    assert _traced_bytes(receive) <= _MAX_HELD_BYTES
+
+
+def test_request_body_in_small_parts_costs_about_its_payload():
+    async def receive_body() -> RequestBody:
+        count = iter(range(_PAYLOAD_BYTES // 2))
+
+        async def receive() -> dict[str, object]:
+            if next(count, None) is None:
+                await asyncio.Event().wait()
+            part = bytes(bytearray(b'ab'))
+            return {'type': 'http.request', 'body': part, 'more_body': True}
+
+        headers = [(b'transfer-encoding', b'chunked')]
+        scope = {'method': 'POST', 'path': '/', 'headers': headers}
+        exchange = Exchange.from_scope(
+            scope, receive, None, Instant(0), close_after=False
+        )
+        body = RequestBody(exchange, _PAYLOAD_BYTES)
+        while body.received_bytes < _PAYLOAD_BYTES:
+            await asyncio.sleep(0)
+        body.close()
+        return body
+
+    assert _traced_bytes(receive_body) <= _MAX_HELD_BYTES
+
+
 class _EndlessStore(Listener):
     """Answers with a body that does not end."""
 
