--- a/tests/support/gateway_mutations.py
+++ b/tests/support/gateway_mutations.py
@@ -15,7 +15,7 @@
         'unit/test_stopping.py',
         'open requests are answered at the end of a stop',
         'gateway/_process.py',
-        'parts.open_requests.end_all()',
+        'self._parts.open_requests.end_all()',
         'pass',
         'test_program_answers_what_is_open_at_the_end_of_its_grace',
     ),
