Bound the memory of the request bodies that a VM holds

Callers' bookings ended without an answer when six bodies of 60 MB, each within the limit, took a process over its memory.

Cause: bodies that must arrive whole are held whole, and nothing bounds their sum. That they are held until the answer makes it likelier.

Change: a body of over 64 KiB claims its memory before it is read. Two pools bound the sum, of long and of short bodies. What finds no room waits in the socket, and is refused as not run after half of its time. A body that does not come is refused at the deadline. A request whose attempts were all declined counts as not run when a stop ends it.

--- a/teaselquay/gateway/_app.py
+++ b/teaselquay/gateway/_app.py
@@ -30,7 +30,7 @@
 from teaselquay.gateway._dispatch import Dispatch
 from teaselquay.gateway._errand import RequestContext
 from teaselquay.gateway._parts import GatewayParts
-from teaselquay.gateway._refusals import stopping_problem
+from teaselquay.gateway._refusals import deadline_problem, stopping_problem
 from teaselquay.pipeline import (
     CallerGoneError,
     Exchange,
@@ -43,6 +43,9 @@
 
 _MS_PER_S = 1000
 _DIGEST_BYTES = 16
+#: Fraction of the time to its deadline that a request may wait until there is
+#: memory for its body. The rest is for another VM.
+_MAX_MEMORY_WAIT_FRACTION = 1 / 2
 #: Bytes of a body that are digested before other tasks may run.
 _MAX_DIGESTED_AT_ONCE_BYTES = 1 << 20
 _UNAVAILABLE_STATUS = 503
@@ -331,6 +334,8 @@
                 self._exchange,
                 self._max_body_bytes,
                 Retention.REPLAY if is_streamed else Retention.WHOLE,
+                self._parts.body_memory,
+                self._left_s() * _MAX_MEMORY_WAIT_FRACTION,
             )
         return self._body
 
@@ -344,7 +349,7 @@
         body = self._read_body(route)
         team_name = team.name if team else ''
         if route.kind is not RouteKind.UPLOAD:
-            await body.wait_complete()
+            await self._receive_whole(body)
         return RequestContext(
             exchange=exchange,
             body=body,
@@ -356,6 +361,22 @@
             team=team_name,
         )
 
+    async def _receive_whole(self, body: RequestBody) -> None:
+        """Wait until the whole body has been received.
+
+        Raises:
+            CallerGoneError: the caller left before.
+            RefusedError: the body is too long, or did not come in time.
+        """
+        try:
+            async with asyncio.timeout(max(0, self._left_s())):
+                await body.wait_complete()
+        except TimeoutError as error:
+            raise RefusedError(deadline_problem(may_have_run=False)) from error
+
+    def _left_s(self) -> float:
+        return self._deadline - self._parts.clock.now()
+
     def _deadline_of(self, route: RouteRule) -> Instant:
         limit_s = route.timeout_s
         requested_ms = self._exchange.header(
--- a/teaselquay/gateway/_body.py
+++ b/teaselquay/gateway/_body.py
@@ -4,12 +4,25 @@
 from enum import Enum
 from typing import AsyncIterator, MutableMapping
 
-from teaselquay.decisions import ProblemKind, RefusedError, refuse
+from teaselquay.decisions import (
+    ProblemKind,
+    RefusedError,
+    problem,
+    refuse,
+)
+from teaselquay.gateway._body_memory import (
+    FREE_BYTES,
+    SHORT_BYTES,
+    BodyMemory,
+    Claim,
+)
 from teaselquay.pipeline import BodyDroppedError, CallerGoneError, Exchange
 
 #: Bytes of a streamed body that are held for retries. A longer one can be sent
 #: to one upstream only.
 _MAX_REPLAY_BYTES = 1 << 20
+#: Retry-After of a body for which there was no room, in seconds.
+_MEMORY_RETRY_S = 0.3
 #: Bytes of a body that are sent at once.
 _MAX_PART_BYTES = 1 << 16
 
@@ -35,8 +48,14 @@
         exchange: Exchange,
         max_bytes: int,
         retention: Retention = Retention.WHOLE,
+        memory: BodyMemory | None = None,
+        max_wait_s: float | None = None,
     ) -> None:
-        """Start reading the body of `exchange`, at most `max_bytes` long."""
+        """Start reading the body of `exchange`, at most `max_bytes` long.
+
+        A body that is held whole waits for at most `max_wait_s` seconds until
+        it has room in `memory`.
+        """
         self.caller_gone = asyncio.Event()
         self.is_complete = not exchange.has_body()
         self.received_bytes = 0
@@ -46,6 +65,9 @@
         #: The bytes of the body from `_dropped_bytes` on.
         self._buffer = bytearray()
         self._dropped_bytes = 0
+        self._memory = memory or BodyMemory()
+        self._max_wait_s = max_wait_s
+        self._claim: Claim | None = None
         self._error: Exception | None = None
         self._has_changed = asyncio.Event()
         self._has_room = asyncio.Event()
@@ -63,8 +85,10 @@
         return len(self._buffer)
 
     def close(self) -> None:
-        """Stop reading."""
+        """Stop reading, and drop the body."""
         self._task.cancel()
+        self._drop_before(self.received_bytes)
+        self._replace_claim(None)
 
     async def wait_complete(self) -> None:
         """Wait until the whole body has been received.
@@ -135,6 +159,8 @@
 
     async def _read(self) -> None:
         while self._error is None:
+            if not await self._claim_memory():
+                return
             message = await self._exchange.receive()
             if message['type'] == 'http.disconnect':
                 if not self.is_complete:
@@ -147,6 +173,45 @@
                 self._has_room.clear()
                 await self._has_room.wait()
 
+    async def _claim_memory(self) -> bool:
+        """Claim the memory of the next part; return whether there is room.
+
+        It is claimed before the part is read, for the whole body if its
+        length is known, else in steps.
+        """
+        if self._retention is not Retention.WHOLE or self.is_complete:
+            return True
+        size = self._next_size()
+        claimed_bytes = self._claim.size if self._claim else FREE_BYTES
+        if size <= claimed_bytes:
+            return True
+        try:
+            async with asyncio.timeout(self._max_wait_s):
+                claim = await self._memory.claim(size)
+        except TimeoutError:
+            self._error = _no_memory()
+            self._has_changed.set()
+            return False
+        self._replace_claim(claim)
+        return True
+
+    def _next_size(self) -> int:
+        """Return the length that the body may have after the next part."""
+        length = self._exchange.header(b'content-length')
+        if length is not None:
+            return int(length)
+        next_bytes = self.received_bytes + FREE_BYTES
+        if next_bytes <= FREE_BYTES:
+            return next_bytes
+        if next_bytes <= SHORT_BYTES:
+            return SHORT_BYTES
+        return max(SHORT_BYTES + 1, self._max_bytes)
+
+    def _replace_claim(self, claim: Claim | None) -> None:
+        if self._claim is not None:
+            self._claim.release()
+        self._claim = claim
+
     def _append_message(self, message: MutableMapping[str, object]) -> None:
         if self.is_complete:
             return
@@ -162,6 +227,12 @@
         self._has_changed.set()
 
 
+def _no_memory() -> RefusedError:
+    refusal = problem(ProblemKind.QUEUE_TIMEOUT)
+    refusal = refusal.with_detail('other bodies take the memory of this VM')
+    return RefusedError(refusal.with_retry_after(_MEMORY_RETRY_S))
+
+
 def _too_large(max_bytes: int) -> RefusedError:
     return refuse(
         ProblemKind.BODY_TOO_LARGE,
--- a/teaselquay/gateway/_dispatch.py
+++ b/teaselquay/gateway/_dispatch.py
@@ -99,7 +99,7 @@
     @property
     def may_have_run(self) -> bool:
         """Return whether an upstream may have got the request."""
-        return bool(self._active) or self._sent_count > 0 or self._may_have_run
+        return bool(self._active) or self._may_have_run
 
     def oldest_attempt_at(self) -> Instant | None:
         """Return when the oldest attempt in progress began, if any."""
--- a/teaselquay/gateway/_parts.py
+++ b/teaselquay/gateway/_parts.py
@@ -8,6 +8,7 @@
 from teaselquay.decisions import Instant, ServiceName, UpstreamName
 from teaselquay.events import Journal
 from teaselquay.fleet import Coordinators, FleetState, Replication
+from teaselquay.gateway._body_memory import BodyMemory
 from teaselquay.gateway._collector import RouteLabels
 from teaselquay.gateway._dialect import HeaderNames
 from teaselquay.gateway._open_requests import OpenRequests
@@ -68,6 +69,7 @@
     #: Whether requests are refused because the process ends soon.
     is_closed: bool = False
     open_requests: OpenRequests = field(default_factory=OpenRequests)
+    body_memory: BodyMemory = field(default_factory=BodyMemory)
 
     def may_begin(
         self,
--- a/tests/support/gateway_mutations.py
+++ b/tests/support/gateway_mutations.py
@@ -3,6 +3,14 @@
 from tests.support.mutation import Mutation
 
 GATEWAY_MUTATIONS = (
+    Mutation(
+        'unit/test_body_memory.py',
+        'the sum of the bodies that are held is bounded',
+        'gateway/_body_memory.py',
+        'if pool.waiters or not pool.has_room(size):',
+        'if False:',
+        'test_long_bodies_at_once_do_not_take_all_memory',
+    ),
     Mutation(
         'unit/test_stopping.py',
         'a stopping VM begins only what it can finish',
