Let upstreams of the soak say that they leave, and bookings be long

An upstream that drains says so in its answers, and another process takes its place. One booking in forty has 1.5 MB.

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -19,6 +19,9 @@
 _LEAVES = 0.02
 _LEAVES_S = 0.05
 _UPLOAD_BYTES = 30_000
+#: Length of one in so many bookings, which is not held for free.
+_LONG_BYTES = 1_500_000
+_LONG_EVERY = 40
 _WEIGHTS = {Kind.READ: 5, Kind.BOOK: 5, Kind.LOAD: 1}
 
 
@@ -93,6 +96,8 @@
 
     def _body(self, kind: Kind) -> bytes:
         length = _UPLOAD_BYTES if kind is Kind.LOAD else 10
+        if kind is Kind.BOOK and not self._count % _LONG_EVERY:
+            length = _LONG_BYTES
         return self.random.randbytes(length)
 
     def _head(self, call: Call, length: int) -> bytes:
--- a/soak/_standins.py
+++ b/soak/_standins.py
@@ -81,6 +81,8 @@
     hangs: bool = False
     #: Requests per second that it names as its limit; 0 names none.
     limit: float = 0
+    #: Whether its answers say that it leaves.
+    is_leaving: bool = False
     started_ms: int = 1
     sequence: int = 0
     state: str = 'ready'
@@ -140,6 +142,7 @@
             status,
             x_response_stamp=self.name,
             server_limit=str(self.limit) if self.limit else '',
+            server_leaving='1' if self.is_leaving else '',
         )
 
 
@@ -167,7 +170,7 @@
         'version': version,
         'routes': routes,
         'services': {'s': services, 'u': services},
-        'limits': {'idle-timeout': '15s', 'max-body-bytes': 1 << 20},
+        'limits': {'idle-timeout': '15s', 'max-body-bytes': 1 << 22},
         'tenants': {
             team: {
                 'api-keys': [key],
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -329,11 +329,15 @@
     if upstream.state != 'ready':
         return
     upstream.state = 'draining'
+    upstream.is_leaving = True
     await world.publish(upstream)
     began_s = world.now()
     await asyncio.sleep(step.for_s)
     span = Span(began_s, world.now())
     world.record.leaving_s.setdefault(upstream.name, []).append(span)
+    # A new process takes its place.
+    upstream.started_ms += 1
+    upstream.is_leaving = False
     upstream.state = 'ready'
     await world.publish(upstream)
 
