Remove bodies that gave up waiting from the queue for memory

A long body that was refused, or whose caller left, stayed at the head of the queue. Bodies behind it waited until the pool was empty, though they fitted.

Cause: a cancelled waiter was only skipped once there was room for it. Change: it leaves the queue when it is cancelled.

Measured: test_body_that_gave_up_waiting_does_not_hold_up_others failed before and passes; the 7 cases of tests/unit/test_body_memory.py pass. Found by reading.

--- a/teaselquay/gateway/_body_memory.py
+++ b/teaselquay/gateway/_body_memory.py
@@ -27,6 +27,20 @@
             not self.used_bytes or self.used_bytes + size <= self.capacity_bytes
         )
 
+    async def wait_for(self, size: int) -> None:
+        """Wait until `size` bytes are granted."""
+        waiter = (size, asyncio.get_running_loop().create_future())
+        self.waiters.append(waiter)
+        try:
+            await waiter[1]
+        except asyncio.CancelledError:
+            if not waiter[1].cancelled():
+                self.used_bytes -= size
+            if waiter in self.waiters:
+                self.waiters.remove(waiter)
+            self.grant_waiters()
+            raise
+
     def grant_waiters(self) -> None:
         """Grant what fits, in order."""
         while self.waiters and self.has_room(self.waiters[0][0]):
@@ -66,16 +80,7 @@
         """Return the claim of a body of `size` bytes once there is room."""
         pool = self.short if size <= SHORT_BYTES else self.long
         if pool.waiters or not pool.has_room(size):
-            granted = asyncio.get_running_loop().create_future()
-            pool.waiters.append((size, granted))
-            try:
-                await granted
-            except asyncio.CancelledError:
-                if granted.done() and not granted.cancelled():
-                    Claim(size, pool).release()
-                granted.cancel()
-                pool.grant_waiters()
-                raise
+            await pool.wait_for(size)
         else:
             pool.used_bytes += size
         return Claim(size, pool)
--- a/tests/unit/test_body_memory.py
+++ b/tests/unit/test_body_memory.py
@@ -185,3 +185,20 @@
         assert not memory.short.used_bytes
 
     asyncio.run(main())
+
+
+def test_body_that_gave_up_waiting_does_not_hold_up_others():
+    # It stayed at the head of the queue until the pool was empty.
+    async def main() -> None:
+        memory = BodyMemory()
+        held = await memory.claim(30 * _MIB)
+        waiting = asyncio.create_task(memory.claim(60 * _MIB))
+        await asyncio.sleep(0)
+        waiting.cancel()
+        await asyncio.wait([waiting])
+        async with asyncio.timeout(1):
+            (await memory.claim(10 * _MIB)).release()
+        held.release()
+        assert not memory.long.used_bytes
+
+    asyncio.run(main())
