Log failed reads of the store and when their connection was last used

Logs could not tell a store that is silent from a kept connection that is: a reader's line says 'overdue' in both cases, and a call that fails while the store counts as lost left no line. A timeout now names the idle time of its connection. No change of what is called, or when.

--- a/teaselquay/events/_registry.py
+++ b/teaselquay/events/_registry.py
@@ -13,6 +13,7 @@
     SETTINGS_REJECTED = 'settings.rejected'
     READY_CHANGED = 'process.ready-changed'
     STORE_LOST = 'store.lost'
+    STORE_CALL_FAILED = 'store.call-failed'
     STORE_REGAINED = 'store.regained'
     READER_CHANGED = 'store.reader-changed'
     HISTORY_LOST = 'store.history-lost'
--- a/teaselquay/fleet/_replication.py
+++ b/teaselquay/fleet/_replication.py
@@ -293,6 +293,7 @@
                 era=era_of(error.since),
             )
             return await self._read_all()
+        self._log_failed_call(error.reason, started_at)
         self._store_failed(error.reason)
         return False
 
@@ -300,6 +301,7 @@
         started_at = self.clock.now()
         read = await self.store.read_all()
         if isinstance(read, Failure):
+            self._log_failed_call(read.failure().reason, started_at)
             self._store_failed(read.failure().reason)
             return False
         whole = read.unwrap()
@@ -368,6 +370,14 @@
         """Return the seconds since the end of the store's last outage."""
         return self._evidence.stable_s(self.clock.now())
 
+    def _log_failed_call(self, reason: str, started_at: Instant) -> None:
+        """Log a call that failed, also while the store is lost already."""
+        self.journal.emit(
+            Event.STORE_CALL_FAILED,
+            reason=reason,
+            after_s=round(self.clock.now() - started_at, 3),
+        )
+
     def _store_failed(self, reason: str) -> None:
         """Record that the store did not answer, and tell the other VMs.
 
--- a/teaselquay/shells/_json_client.py
+++ b/teaselquay/shells/_json_client.py
@@ -28,8 +28,8 @@
 class JsonClient:
     """Sends calls to one address, concurrent ones on separate connections.
 
-    A failed call closes its connection, so that a late answer is not read
-    as that of a later call. Calls are never retried.
+    A call whose answer is not read completely closes its connection, so that
+    a late answer is not read as that of a later call. Calls are never retried.
     """
 
     def __init__(self, address: Address) -> None:
@@ -49,25 +49,45 @@
 
         Raises:
             ExchangeError: the connection failed.
-            TimeoutError: no answer came in time.
+            TimeoutError: no answer came in time. The message tells how long
+                a reused connection had been idle.
             ValueError: the answer is not JSON.
         """
         self.calls += 1
-        async with asyncio.timeout(timeout_s):
-            connection = await self._acquire(timeout_s)
-            try:
-                answer = await self._exchange(connection, method, target, body)
-            except BaseException:
-                connection.close()
-                raise
-        self._idle.append(connection)
-        return answer
+        connection: HttpConnection | None = None
+        try:
+            async with asyncio.timeout(timeout_s):
+                connection = await self._acquire(timeout_s)
+                return await self._exchange(connection, method, target, body)
+        except TimeoutError as error:
+            raise TimeoutError(self._describe_timeout(connection)) from error
+        finally:
+            if connection is not None:
+                self._release(connection)
 
     def close(self) -> None:
         """Close the idle connections."""
         while self._idle:
             self._idle.pop().close()
 
+    def _describe_timeout(self, connection: HttpConnection | None) -> str:
+        """Return a message that tells how long `connection` had been idle."""
+        if connection is None or not connection.last_used:
+            return 'timeout'
+        idle_s = self._now() - connection.last_used
+        return f'timeout on a connection last used {idle_s:.1f} s ago'
+
+    def _release(self, connection: HttpConnection) -> None:
+        """Keep `connection` if its last answer was read completely."""
+        if connection.reusable:
+            connection.last_used = self._now()
+            self._idle.append(connection)
+        else:
+            connection.close()
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
     async def _acquire(self, timeout_s: float) -> HttpConnection:
         while self._idle:
             connection = self._idle.pop()
