Log the Retry-After of answers that upstreams decline requests with

Logs could not tell whether requests to an upstream that had asked for rest were first attempts or retries, nor that it had asked. No change of logic.

--- a/teaselquay/gateway/_dispatch.py
+++ b/teaselquay/gateway/_dispatch.py
@@ -30,6 +30,7 @@
     placement_problem,
 )
 from teaselquay.pipeline import CallerGoneError
+from teaselquay.shells import AnswerHead
 
 #: A hedge is sent after this many times the mean latency of the service.
 _HEDGE_FACTOR = 2.5
@@ -42,6 +43,8 @@
 #: unreachable or stale, or its upstream left. They do not count towards the
 #: maximum of the route.
 _MAX_UNSENT_ATTEMPTS = 4
+#: Bytes of a header field that a log line shows.
+_MAX_SHOWN_BYTES = 40
 #: Outcomes of attempts that ended before anything was sent.
 _UNSENT_OUTCOMES = frozenset((Outcome.UNREACHABLE, Outcome.CANCELLED))
 _ANSWERED_OUTCOMES = frozenset((Outcome.SERVED, Outcome.FAILED, Outcome.SHED))
@@ -405,6 +408,7 @@
             reason=result.reason,
             took_s=round(duration_s, 3),
             reused=call.is_reused,
+            retry_after=_shown_field(result.head, b'retry-after'),
             **_placement_fields(attempt.placement),
         )
         self._may_have_run = self._may_have_run or result.may_have_run
@@ -539,6 +543,12 @@
         )
 
 
+def _shown_field(head: AnswerHead | None, name: bytes) -> str | None:
+    """Return the start of the field `name` for a log line, if there is one."""
+    text = head.field(name) if head else None
+    return None if text is None else text[:_MAX_SHOWN_BYTES].decode('latin-1')
+
+
 def _placement_fields(placement: Placement) -> dict[str, object]:
     """Return the log fields that describe `placement`."""
     return {
