--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -197,3 +197,22 @@
         assert isinstance(await store.read_all(), Failure)
 
     _run(check)
+
+
+def test_read_after_a_silence_does_not_use_a_dead_connection():
+    """Load pattern: a successor of the readers reads for the first time."""
+
+    async def check(
+        standin: PlatformStoreStandIn,
+        store: PlatformStore,
+    ) -> None:
+        since = Revision(await standin.put('a', b'1'))
+        await store.read_all()
+        standin.silence_connections()
+        await asyncio.sleep(0.6)
+        await standin.put('b', b'2')
+        async with asyncio.timeout(0.3):
+            delta = (await store.changes(since, 0)).unwrap()
+        assert [entry.key for entry in delta.entries] == ['b']
+
+    _run(check)
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -29,6 +29,12 @@
     answers: list[int] = field(default_factory=list)
     calls: list[str] = field(default_factory=list)
     _changed: asyncio.Condition = field(default_factory=asyncio.Condition)
+    _connections: set[asyncio.StreamWriter] = field(default_factory=set)
+    _silent: set[asyncio.StreamWriter] = field(default_factory=set)
+
+    def silence_connections(self) -> None:
+        """Answer nothing more on the open connections; new ones work."""
+        self._silent |= self._connections
 
     async def put(self, key: str, value: bytes) -> int:
         """Write a value as the operator or an upstream does."""
@@ -69,6 +75,7 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         """Answer the requests of one connection."""
+        self._connections.add(writer)
         try:
             while True:
                 await self._answer(reader, writer)
@@ -77,6 +84,9 @@
         except asyncio.CancelledError:
             # The loop ends while a watch is waiting.
             writer.close()
+        finally:
+            self._connections.discard(writer)
+            self._silent.discard(writer)
 
     async def _answer(
         self,
@@ -102,6 +112,8 @@
             raise ConnectionError
         text = b'' if document is None else json.dumps(document).encode()
         era = b'' if self.era is None else b'Store-Era: %d\r\n' % self.era
+        if writer in self._silent:
+            return
         writer.write(
             b'HTTP/1.1 %d X\r\n%bcontent-length: %d\r\n\r\n%b'
             % (status, era, len(text), text),
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any, Awaitable
+from weakref import WeakSet
 
 from returns.result import Failure, Result, Success
 
@@ -43,7 +44,12 @@
     Replication,
     RuntimeContext,
 )
-from teaselquay.shells import Address, StoreUnavailable, TimerService
+from teaselquay.shells import (
+    Address,
+    ConnectionPool,
+    StoreUnavailable,
+    TimerService,
+)
 from tests.support.fake_network import FakeLink, Network
 from tests.support.virtual import VirtualClock
 
@@ -55,6 +61,8 @@
 _CALL_TIMEOUT_S = 1.0
 
 
+_STORE = Address('10.0.1.0', 80)
+
 #: Revision and entries of a store.
 StoreCopy = tuple[int, dict[str, Entry]]
 
@@ -107,6 +115,18 @@
         return VmName(name) if head == 'vm' else None
 
 
+@dataclass(eq=False)
+class FakeConnection:
+    """A connection of one VM to the store."""
+
+    reusable: bool = True
+    last_used: float = 0.0
+
+    def close(self) -> None:
+        """Use the connection no more."""
+        self.reusable = False
+
+
 @dataclass
 class FakeSharedStore:
     """A store whose changes can be watched.
@@ -126,6 +146,9 @@
     #: Time in seconds that each answer takes.
     latency_s: float = 0.004
     calls: int = 0
+    #: Connections that carry nothing any more.
+    silent_connections: set['FakeConnection'] = field(default_factory=set)
+    connections: WeakSet['FakeConnection'] = field(default_factory=WeakSet)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     def put(self, key: str, document: object) -> None:
@@ -137,6 +160,10 @@
         self.log.append(entry)
         self._notify()
 
+    def silence_connections(self) -> None:
+        """Answer nothing more on the open connections; new ones work."""
+        self.silent_connections |= set(self.connections)
+
     def copy(self) -> StoreCopy:
         """Return a copy from which the store can be restored."""
         return self.revision, dict(self.entries)
@@ -169,6 +196,10 @@
     vm: VmName
     shared: FakeSharedStore
     calls_by_result: Counter[tuple[str, str]] = field(default_factory=Counter)
+    #: Kept as the product's client keeps them.
+    _idle: ConnectionPool = field(
+        default_factory=lambda: ConnectionPool(float('inf'))
+    )
 
     async def read_all(self) -> Result[Delta, StoreUnavailable]:
         """Return every entry."""
@@ -238,8 +269,14 @@
         """Return the result of `call`, or a timeout if no answer arrives."""
         loop = asyncio.get_running_loop()
         give_up_at = loop.time() + wait_s + _CALL_TIMEOUT_S
+        connection: Any = self._idle.acquire(_STORE, loop.time())
+        if connection is None:
+            connection = FakeConnection()
+            self.shared.connections.add(connection)
         result = await call
-        if self.vm not in self.shared.silent:
+        is_silent = connection in self.shared.silent_connections
+        if self.vm not in self.shared.silent and not is_silent:
+            self._idle.release(_STORE, connection, loop.time())
             return result
         await asyncio.sleep(give_up_at - loop.time())
         return Failure(StoreUnavailable('timeout'))
--- a/tests/unit/test_replication.py
+++ b/tests/unit/test_replication.py
@@ -620,9 +620,13 @@
     fleet: ReplicaFleet,
     version: int,
     late: list[tuple[VmName, int, int]],
+    excused_s: float = 0,
 ) -> None:
-    """Add the VMs to `late` on which `version` is not in force in time."""
-    await asyncio.sleep(IN_FORCE_S)
+    """Add the VMs to `late` on which `version` is not in force in time.
+
+    They have `excused_s` more seconds than usual.
+    """
+    await asyncio.sleep(excused_s + IN_FORCE_S)
     late.extend(
         (vm.name, vm.version, version)
         for vm in fleet.vms
@@ -658,6 +662,43 @@
     _run(48, check, seed)
 
 
+@pytest.mark.parametrize('seed', [1, 2, 3, 4])
+@pytest.mark.parametrize('loses_readers', [False, True])
+def test_changes_are_in_force_in_time_after_store_connections_went_silent(
+    seed: int,
+    loses_readers: bool,
+) -> None:
+    """Load pattern: all open connections fail, and the readers soon after."""
+    late: list[tuple[VmName, int, int]] = []
+
+    async def check(fleet: ReplicaFleet) -> None:
+        random = Random(seed)
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(random.random())
+        fleet.store.silence_connections()
+        required_at = loop.time() + STABLE_WINDOW_S
+        if loses_readers:
+            await asyncio.sleep(0.7)
+            for vm in tuple(fleet.vms):
+                if vm.replication._is_reader():
+                    fleet.kill(vm)
+                    fleet.vms.remove(vm)
+        checks = []
+        for version in range(2, 22):
+            fleet.store.put('config', version)
+            excused_s = max(0, required_at - IN_FORCE_S - loop.time())
+            checks.append(
+                asyncio.create_task(
+                    _collect_late(fleet, version, late, excused_s)
+                )
+            )
+            await asyncio.sleep(random.uniform(0.1, 0.5))
+        await asyncio.gather(*checks)
+        assert not late
+
+    _run(48, check, seed)
+
+
 def test_changes_are_in_force_in_time_while_the_store_is_slow():
     """Load pattern: all answers take 0.6 s, a part of a call's timeout."""
     late: list[tuple[VmName, int, int]] = []
