Do not reuse connections to the store that were idle

Callers got 404 on routes of a version that was acknowledged over 2.0 s before.

Cause: VMs kept the connection of their first read without a limit. When all connections to the store went silent, the watch of each reader was found to hang after 0.4 s, but its successors then read on connections that had gone silent as well: one after the other failed after 0.4 s, until the first reader had given up its call, 2.1 to 2.6 s later.

Change: the client of the store keeps its connections in the pool that connections to upstreams have, for half a second. A successor opens a new one, and reads within a round trip.

--- a/teaselquay/shells/_json_client.py
+++ b/teaselquay/shells/_json_client.py
@@ -7,11 +7,17 @@
 
 from teaselquay.shells._http import (
     MAX_DOCUMENT_BYTES,
+    ConnectionPool,
     Header,
     HttpConnection,
 )
 from teaselquay.shells._peers import Address
 
+#: Time in seconds after which an idle connection is not used again. Successive
+#: calls are made at once; one that was kept for longer may be dead, which
+#: shows only after a timeout.
+MAX_IDLE_S = 0.5
+
 
 @dataclass(frozen=True, slots=True)
 class JsonAnswer:
@@ -36,7 +42,7 @@
         """Create a client of the service at `address`."""
         self.calls = 0
         self._address = address
-        self._idle: list[HttpConnection] = []
+        self._idle = ConnectionPool(MAX_IDLE_S)
 
     async def call(
         self,
@@ -63,12 +69,11 @@
             raise TimeoutError(self._describe_timeout(connection)) from error
         finally:
             if connection is not None:
-                self._release(connection)
+                self._idle.release(self._address, connection, self._now())
 
     def close(self) -> None:
         """Close the idle connections."""
-        while self._idle:
-            self._idle.pop().close()
+        self._idle.close()
 
     def _describe_timeout(self, connection: HttpConnection | None) -> str:
         """Return a message that tells how long `connection` had been idle."""
@@ -77,24 +82,12 @@
         idle_s = self._now() - connection.last_used
         return f'timeout on a connection last used {idle_s:.1f} s ago'
 
-    def _release(self, connection: HttpConnection) -> None:
-        """Keep `connection` if its last answer was read completely."""
-        if connection.reusable:
-            connection.last_used = self._now()
-            self._idle.append(connection)
-        else:
-            connection.close()
-
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
 
     async def _acquire(self, timeout_s: float) -> HttpConnection:
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.reusable:
-                return connection
-            connection.close()
-        return await HttpConnection.open(self._address, timeout_s)
+        kept = self._idle.acquire(self._address, self._now())
+        return kept or await HttpConnection.open(self._address, timeout_s)
 
     async def _exchange(
         self,
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -50,6 +50,7 @@
     StoreUnavailable,
     TimerService,
 )
+from teaselquay.shells._json_client import MAX_IDLE_S
 from tests.support.fake_network import FakeLink, Network
 from tests.support.virtual import VirtualClock
 
@@ -198,7 +199,7 @@
     calls_by_result: Counter[tuple[str, str]] = field(default_factory=Counter)
     #: Kept as the product's client keeps them.
     _idle: ConnectionPool = field(
-        default_factory=lambda: ConnectionPool(float('inf'))
+        default_factory=lambda: ConnectionPool(MAX_IDLE_S)
     )
 
     async def read_all(self) -> Result[Delta, StoreUnavailable]:
