Send nothing to an upstream that asked for rest

An upstream that turned a request away with 503 and Retry-After got several more requests of the same VM in that time.

Cause: nothing read the field. An upstream that shed a request was avoided for 0.3 s, and only while another one was better.

Change: the VM that reads the answer leaves the upstream out of its placement requests until the time has passed, at most two minutes, and up to half a second longer at random. It is checked again once a placement has come and once the connection is open, which covers first attempts, retries, hedges, waiting requests and grants of coordinators alike. If all that is left rests, requests wait where the deadline permits; others are refused at once with the time until the first rest ends. The coordinator learns no more than before: that the upstream shed a request of one VM.

--- a/teaselquay/coordination/__init__.py
+++ b/teaselquay/coordination/__init__.py
@@ -24,6 +24,7 @@
     RateLimits,
     RateStatement,
 )
+from teaselquay.coordination._resting import RestingUpstreams
 from teaselquay.coordination._scheduling import ServiceScheduler
 from teaselquay.coordination._stopping import may_begin
 from teaselquay.coordination._waiting import WaitingRoom
@@ -45,6 +46,7 @@
     'RateStatement',
     'RefusalReason',
     'RepeatPolicy',
+    'RestingUpstreams',
     'ServiceScheduler',
     'SpellModel',
     'Ticket',
--- a/teaselquay/coordination/_placement.py
+++ b/teaselquay/coordination/_placement.py
@@ -51,6 +51,8 @@
     REPEAT_BUDGET = 'repeat-budget'
     #: The upstreams that are left name limits, and have got what they take.
     RATE_LIMITED = 'rate-limited'
+    #: The upstreams that are left asked for rest.
+    RESTING = 'resting'
     QUARANTINED = 'quarantined'
     #: The VM that asks stops before the request would be done.
     STOPPING = 'stopping'
--- a/teaselquay/coordination/_waiting.py
+++ b/teaselquay/coordination/_waiting.py
@@ -14,6 +14,7 @@
         RefusalReason.SHEDDING,
         RefusalReason.REPEAT_BUDGET,
         RefusalReason.RATE_LIMITED,
+        RefusalReason.RESTING,
     )
 )
 
--- a/teaselquay/events/_registry.py
+++ b/teaselquay/events/_registry.py
@@ -35,6 +35,8 @@
     LIMIT_ENDED = 'limit.ended'
     LIMIT_REJECTED = 'limit.rejected'
     LEAVING_REJECTED = 'leaving.rejected'
+    REST_STARTED = 'rest.started'
+    REST_REJECTED = 'rest.rejected'
     UPSTREAM_SUSPECTED = 'upstream.suspected'
     PEER_LOST = 'peer.lost'
     PEER_REGAINED = 'peer.regained'
--- a/teaselquay/gateway/_call.py
+++ b/teaselquay/gateway/_call.py
@@ -13,6 +13,7 @@
     StatementError,
     parse_leaving,
     parse_rate,
+    parse_rest,
 )
 from teaselquay.pipeline import (
     NOT_FORWARDED,
@@ -42,6 +43,7 @@
 _MS_PER_S = 1000
 _FIRST_SERVER_ERROR = 500
 _MISDIRECTED_STATUS = 421
+_UNAVAILABLE_STATUS = 503
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,10 +83,12 @@
     header_names: HeaderNames
     pool: ConnectionPool
     clock: Clock
-    #: Returns whether an upstream accepts new requests.
-    is_usable: Callable[[UpstreamName], bool]
+    #: Returns whether this VM may send new requests to an upstream.
+    may_send: Callable[[UpstreamName], bool]
     #: Records an answer that says that its upstream leaves.
     record_leaving: Callable[[UpstreamRecord], None]
+    #: Records an answer that asks for so many seconds of rest.
+    record_rest: Callable[[UpstreamRecord, float], None]
     connection: HttpConnection | None = None
     is_reused: bool = False
     #: How long a reused connection had been idle, in seconds.
@@ -96,6 +100,8 @@
     rate_error: str = ''
     #: Why it cannot be read whether the upstream leaves, or an empty string.
     leaving_error: str = ''
+    #: Why the rest that it asks for cannot be read, or an empty string.
+    rest_error: str = ''
     _sender: 'asyncio.Task[None] | None' = None
     _buffer: bytearray = field(default_factory=bytearray)
 
@@ -111,10 +117,10 @@
             self.connection = await self._connect()
         except ConnectError as error:
             return CallResult(Outcome.UNREACHABLE, False, str(error))
-        if not self.is_usable(self.target.upstream.name):
-            # It left while the connection was opened.
+        if not self.may_send(self.target.upstream.name):
+            # It left, or asked for rest, while the connection was opened.
             self.connection.close()
-            reason = 'the upstream left before the request was sent'
+            reason = 'the upstream left or rests since it was chosen'
             return CallResult(Outcome.CANCELLED, False, reason)
         try:
             return await self._send_and_read_answer()
@@ -203,6 +209,7 @@
         if self._speaks_for_upstream(head):
             self._read_rate(head)
             self._read_leaving(head)
+            self._read_rest(head)
         declined_result = self._declined_result(head)
         if declined_result is not None:
             return declined_result
@@ -330,6 +337,18 @@
         if is_leaving:
             self.record_leaving(self.target.upstream)
 
+    def _read_rest(self, head: AnswerHead) -> None:
+        """Record at once if the upstream asks for rest."""
+        if head.status != _UNAVAILABLE_STATUS:
+            return
+        try:
+            rest_s = parse_rest(head.headers)
+        except StatementError as error:
+            self.rest_error = str(error)
+            return
+        if rest_s > 0:
+            self.record_rest(self.target.upstream, rest_s)
+
     def _read_rate(self, head: AnswerHead) -> None:
         """Read what `head` says of a limit of the upstream.
 
--- a/teaselquay/gateway/_collector.py
+++ b/teaselquay/gateway/_collector.py
@@ -7,7 +7,7 @@
 from prometheus_client import Metric
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
-from teaselquay.coordination import SUSPICION_THRESHOLD
+from teaselquay.coordination import SUSPICION_THRESHOLD, RestingUpstreams
 from teaselquay.fleet import FleetMember
 from teaselquay.shells import Clock
 
@@ -54,6 +54,7 @@
     member: FleetMember
     link: LinkCounters
     clock: Clock
+    resting: RestingUpstreams
 
     def collect(self) -> Iterable[Metric]:
         """Yield the metrics with their current values."""
@@ -71,7 +72,7 @@
             self.link.octets,
         )
         yield from self._services()
-        yield self._leaving()
+        yield from (self._leaving(), self._resting())
         yield from self._limits()
 
     def _version(self) -> Metric:
@@ -147,6 +148,19 @@
             metric.add_metric([service], counts[service])
         return metric
 
+    def _resting(self) -> Metric:
+        metric = GaugeMetricFamily(
+            'teaselquay_resting_upstreams',
+            'Upstreams that asked this VM for rest.',
+            labels=_SERVICE_LABELS,
+        )
+        names = self.resting.names(self.clock.now())
+        for service in self.member.coordinators.services():
+            listed = self.member.state.usable(service)
+            count = sum(record.name in names for record in listed)
+            metric.add_metric([service], count)
+        return metric
+
     def _limits(self) -> Iterable[Metric]:
         limited_metric = GaugeMetricFamily(
             'teaselquay_limited_upstreams',
--- a/teaselquay/gateway/_dispatch.py
+++ b/teaselquay/gateway/_dispatch.py
@@ -188,7 +188,7 @@
                 request,
             )
             if isinstance(placed, PlacementRefusal):
-                return placed
+                return self._with_rest(placed)
             self._record_placement(request, placed)
             if not self._may_begin(placed):
                 self._report_outcome(
@@ -197,16 +197,30 @@
                 return PlacementRefusal(
                     RefusalReason.STOPPING, STOPPING_RETRY_S
                 )
-            if parts.state.is_usable(placed.upstream):
+            if parts.may_send(placed.upstream):
                 return placed, ticket
-            # The coordinator does not know yet that the upstream left.
-            self._tried.add(placed.upstream)
+            if not parts.state.is_usable(placed.upstream):
+                # The coordinator does not know yet that the upstream left.
+                self._tried.add(placed.upstream)
             self._report_outcome(ticket, placed.upstream, Outcome.CANCELLED, 0)
             if parts.clock.now() >= self.context.deadline:
                 return PlacementRefusal(
                     RefusalReason.NO_UPSTREAM, RETRY_AFTER_S
                 )
 
+    def _with_rest(self, refusal: PlacementRefusal) -> PlacementRefusal:
+        """Return `refusal`, or until when the upstreams that are left rest.
+
+        Load pattern: all upstreams of a service turn requests away. Nothing
+        is sent to find out whether they still do.
+        """
+        left_s = self.parts.rest_left_s(self.context.service)
+        if refusal.reason is not RefusalReason.NO_UPSTREAM or left_s is None:
+            return refusal
+        return PlacementRefusal(
+            RefusalReason.RESTING, left_s, self.parts.settings.vm
+        )
+
     def _may_begin(self, placed: Placement) -> bool:
         """Return whether an attempt would end before this VM stops."""
         upstream = self.parts.state.upstreams_by_name.get(placed.upstream)
@@ -238,6 +252,7 @@
         elapsed_s = now - context.exchange.began
         length = context.exchange.header(b'content-length') or b'0'
         avoided = self.parts.unreachable.names(now)
+        avoided |= self.parts.resting_names(context.service)
         return PlacementRequest(
             ticket=ticket,
             zone=self.parts.settings.zone,
@@ -289,8 +304,9 @@
             self.parts.header_names,
             self.parts.pool,
             self.parts.clock,
-            self.parts.state.is_usable,
+            self.parts.may_send,
             self.parts.coordinators.record_leaving,
+            self.parts.record_rest,
             began=self.parts.clock.now(),
         )
         self._tried.add(upstream.name)
@@ -412,11 +428,7 @@
             **_placement_fields(attempt.placement),
         )
         self._may_have_run = self._may_have_run or result.may_have_run
-        if result.outcome in _UNSENT_OUTCOMES:
-            self._sent_count -= 1
-            self._unsent_count += 1
-        if result.outcome is Outcome.UNREACHABLE:
-            self.parts.unreachable.add(upstream.name, self.parts.clock.now())
+        self._record_declined(result, upstream.name)
         if result.outcome is Outcome.FAILED:
             if not self._may_retry(result):
                 return call, result
@@ -425,9 +437,36 @@
             self._last_failure = None if result.rest else (call, result)
         call.release()
         if not self._active and not self._may_retry(result):
-            raise RefusedError(attempt_problem(result, self._may_have_run))
+            raise RefusedError(
+                attempt_problem(
+                    result, self._may_have_run, self._retry_after_s()
+                )
+            )
         return None
 
+    def _record_declined(
+        self, result: CallResult, upstream: UpstreamName
+    ) -> None:
+        """Record that `upstream` did not get or did not take the request."""
+        now = self.parts.clock.now()
+        if result.outcome in _UNSENT_OUTCOMES:
+            self._sent_count -= 1
+            self._unsent_count += 1
+        if result.outcome is Outcome.UNREACHABLE:
+            self.parts.unreachable.add(upstream, now)
+        is_shed = result.outcome is Outcome.SHED
+        if is_shed and self.parts.resting.includes(upstream, now):
+            # It may be chosen again once its rest has ended.
+            self._tried.discard(upstream)
+
+    def _retry_after_s(self) -> float:
+        """Return when an upstream may take the request, in seconds."""
+        service = self.context.service
+        usable = self.parts.state.usable(service)
+        if len(self.parts.resting_names(service)) < len(usable):
+            return RETRY_AFTER_S
+        return self.parts.rest_left_s(service) or RETRY_AFTER_S
+
     def _update_idle_limit(self, call: UpstreamCall, outcome: Outcome) -> None:
         if not call.is_reused:
             return
@@ -494,6 +533,7 @@
         for event, reason in (
             (Event.LIMIT_REJECTED, call.rate_error),
             (Event.LEAVING_REJECTED, call.leaving_error),
+            (Event.REST_REJECTED, call.rest_error),
         ):
             if reason:
                 self._log(event, upstream=upstream.name, reason=reason)
--- a/teaselquay/gateway/_parts.py
+++ b/teaselquay/gateway/_parts.py
@@ -4,9 +4,13 @@
 from random import Random
 
 from teaselquay.configuration import UpstreamRecord
-from teaselquay.coordination import WaitingRoom, may_begin
+from teaselquay.coordination import (
+    RestingUpstreams,
+    WaitingRoom,
+    may_begin,
+)
 from teaselquay.decisions import Instant, ServiceName, UpstreamName
-from teaselquay.events import Journal
+from teaselquay.events import Event, Journal
 from teaselquay.fleet import Coordinators, FleetState, Replication
 from teaselquay.gateway._body_memory import BodyMemory
 from teaselquay.gateway._collector import RouteLabels
@@ -70,6 +74,43 @@
     is_closed: bool = False
     open_requests: OpenRequests = field(default_factory=OpenRequests)
     body_memory: BodyMemory = field(default_factory=BodyMemory)
+    resting: RestingUpstreams = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Begin without an upstream that rests."""
+        self.resting = RestingUpstreams(self.random)
+
+    def may_send(self, upstream: UpstreamName) -> bool:
+        """Return whether this VM may send new requests to `upstream`."""
+        now = self.clock.now()
+        is_usable = self.state.is_usable(upstream)
+        return is_usable and not self.resting.includes(upstream, now)
+
+    def record_rest(self, upstream: UpstreamRecord, rest_s: float) -> None:
+        """Record an answer of `upstream` that asks for seconds of rest."""
+        if self.resting.record(upstream.name, rest_s, self.clock.now()):
+            self.journal.emit(
+                Event.REST_STARTED,
+                upstream=upstream.name,
+                service=upstream.service,
+                rest_s=rest_s,
+            )
+
+    def resting_names(self, service: ServiceName) -> frozenset[UpstreamName]:
+        """Return the upstreams of `service` that rest."""
+        names = self.resting.names(self.clock.now())
+        if not names:
+            return names
+        listed = {record.name for record in self.state.usable(service)}
+        return names & listed
+
+    def rest_left_s(self, service: ServiceName) -> float | None:
+        """Return the seconds until a resting upstream of `service` is usable.
+
+        Return None if none rests.
+        """
+        names = (record.name for record in self.state.usable(service))
+        return self.resting.left_s(names, self.clock.now())
 
     def may_begin(
         self,
--- a/teaselquay/gateway/_process.py
+++ b/teaselquay/gateway/_process.py
@@ -109,7 +109,9 @@
             random=random,
         )
         self._parts.metrics.registry.register(
-            FleetCollector(self._member, self._link, clock),
+            FleetCollector(
+                self._member, self._link, clock, self._parts.resting
+            ),
         )
         self._timers.on_fired(self._timer_fired)
         self._caller_server = build_server(
--- a/teaselquay/gateway/_refusals.py
+++ b/teaselquay/gateway/_refusals.py
@@ -18,6 +18,7 @@
     RefusalReason.SHEDDING: ProblemKind.QUEUE_TIMEOUT,
     RefusalReason.REPEAT_BUDGET: ProblemKind.QUEUE_TIMEOUT,
     RefusalReason.RATE_LIMITED: ProblemKind.QUEUE_TIMEOUT,
+    RefusalReason.RESTING: ProblemKind.QUEUE_TIMEOUT,
     RefusalReason.QUARANTINED: ProblemKind.REQUEST_QUARANTINED,
     RefusalReason.STOPPING: ProblemKind.STOPPING,
 }
@@ -28,12 +29,17 @@
 STOPPING_RETRY_S = 0.05
 
 
-def attempt_problem(result: CallResult, may_have_run: bool) -> Problem:
-    """Return the problem of a request whose last attempt failed."""
+def attempt_problem(
+    result: CallResult, may_have_run: bool, retry_after_s: float
+) -> Problem:
+    """Return the problem of a request whose last attempt failed.
+
+    `retry_after_s` is for requests that no upstream took.
+    """
     if result.outcome in _DECLINED_OUTCOMES and not may_have_run:
         refusal = problem(ProblemKind.CONNECT_FAILED)
         return refusal.with_detail(result.reason).with_retry_after(
-            RETRY_AFTER_S
+            retry_after_s
         )
     refusal = problem(ProblemKind.UPSTREAM_FAILED)
     return refusal.with_detail(result.reason).with_run(Run.UNKNOWN)
--- a/teaselquay/gateway/_statements.py
+++ b/teaselquay/gateway/_statements.py
@@ -6,6 +6,8 @@
 from teaselquay.shells import Header
 
 _DECIMAL = re.compile(rb'\d{1,18}(\.\d{1,18})?')
+#: The standard field that names the seconds until a retry is welcome.
+_RETRY_AFTER = b'retry-after'
 _LEAVING_BY_TEXT = {b'1': True, b'0': False}
 
 #: Bytes of a malformed value that an error shows.
@@ -30,12 +32,23 @@
     Traceback (most recent call last):
     teaselquay.gateway._statements.StatementError: not a decimal number: -1
     """
-    text = _single_value(headers, name)
-    if text is None:
-        return None
-    if _DECIMAL.fullmatch(text) is None:
-        raise StatementError(f'not a decimal number: {_shown(text)}')
-    return float(text)
+    return _parse_decimal(headers, name)
+
+
+def parse_rest(headers: Iterable[Header]) -> float:
+    """Return the seconds in which an upstream wants no requests.
+
+    The result is 0 if it does not ask for rest.
+
+    Raises:
+        StatementError: the field is malformed. Dates are, as clocks differ.
+
+    >>> parse_rest([(b'retry-after', b'2.5')])
+    2.5
+    >>> parse_rest([])
+    0.0
+    """
+    return _parse_decimal(headers, _RETRY_AFTER) or 0.0
 
 
 def parse_leaving(headers: Iterable[Header], name: bytes) -> bool:
@@ -58,6 +71,15 @@
     return is_leaving
 
 
+def _parse_decimal(headers: Iterable[Header], name: bytes) -> float | None:
+    text = _single_value(headers, name)
+    if text is None:
+        return None
+    if _DECIMAL.fullmatch(text) is None:
+        raise StatementError(f'not a decimal number: {_shown(text)}')
+    return float(text)
+
+
 def _single_value(headers: Iterable[Header], name: bytes) -> bytes | None:
     """Return the value of the fields called `name`, None without any.
 
--- a/tests/unit/test_requested_rest.py
+++ b/tests/unit/test_requested_rest.py
@@ -2,10 +2,14 @@
 
 import asyncio
 import json
+from random import Random
 
 import pytest
 
 from teaselquay.configuration import RouteKind
+from teaselquay.coordination import RestingUpstreams
+from teaselquay.coordination._resting import MAX_REST_S
+from teaselquay.decisions import Instant, UpstreamName
 from tests.support.gateway import (
     Gateway,
     Handler,
@@ -127,3 +131,73 @@
         assert len(resting.arrivals) <= 1
 
     run_with(configuration(), [resting, replies()], check)
+
+
+@pytest.mark.parametrize(
+    'handler',
+    [
+        replies(retry_after='60'),
+        replies(b'', '429 Slow', retry_after='60', x_not_executed='1'),
+        replies(b'', '421 Other', retry_after='60', x_not_executed='1'),
+        Resting('60', x_request_id='another'),
+        Resting('60', x_not_executed='', x_answer_stamp=''),
+        Resting('0'),
+    ],
+    ids=['served', 'status', 'misdirected', 'another', 'no mark', 'zero'],
+)
+def test_answer_that_does_not_ask_for_rest_leaves_the_upstream_in_use(
+    handler: Handler,
+):
+    async def check(gateway: Gateway, upstreams: Upstreams) -> None:
+        await gateway.ask('POST', body=b'x')
+        assert upstreams[0].received
+        assert gateway.parts.may_send(UpstreamName('up-0'))
+
+    config = configuration(RouteKind.NON_IDEMPOTENT, max_attempts=1)
+    run_with(config, [handler], check)
+
+
+@pytest.mark.parametrize(
+    'rest', ['-1', 'NaN', '1e9', '9' * 200, 'Sun, 06 Nov 1994 08:49:37 GMT']
+)
+def test_malformed_rest_changes_nothing_but_is_logged(rest: str):
+    async def check(gateway: Gateway, _: Upstreams) -> None:
+        await gateway.ask('POST', body=b'x')
+        assert gateway.parts.may_send(UpstreamName('up-0'))
+        lines = [line for line in gateway.lines if b'rest.rejected' in line]
+        assert lines
+        assert rest[:30].encode() in lines[0]
+
+    config = configuration(RouteKind.NON_IDEMPOTENT, max_attempts=1)
+    run_with(config, [Resting(rest)], check)
+
+
+def test_upstream_that_asked_for_rest_while_its_connection_was_opened(
+    monkeypatch: pytest.MonkeyPatch,
+):
+    """The request of another caller was turned away in the meantime."""
+
+    async def check(gateway: Gateway, upstreams: Upstreams) -> None:
+        parts = gateway.parts
+        resting = parts.state.upstreams_by_name[UpstreamName('up-0')]
+
+        def acquire(*_: object) -> None:
+            parts.record_rest(resting, 60.0)
+
+        monkeypatch.setattr(parts.pool, 'acquire', acquire)
+        status, _, _ = await gateway.ask('POST', body=b'x')
+        assert status == 503
+        assert not upstreams[0].received
+
+    config = configuration(RouteKind.NON_IDEMPOTENT, max_attempts=3)
+    run_with(config, [replies()], check)
+
+
+def test_longest_rest_is_bounded_and_a_shorter_one_does_not_end_it():
+    resting = RestingUpstreams(Random(1))
+    name = UpstreamName('up')
+    resting.record(name, 1e18, Instant(0.0))
+    resting.record(name, 1.0, Instant(1.0))
+    assert resting.includes(name, Instant(MAX_REST_S))
+    assert not resting.includes(name, Instant(MAX_REST_S + 0.5))
+    assert resting.names(Instant(MAX_REST_S + 0.5)) == frozenset()
