Do not take an answer without length for whole if its connection breaks

A caller got half of an answer, ended properly: the upstream answered a long upload at once without a length, sent a part and reset the connection.

Cause: the end of the octets was taken for the end of the answer, whatever ended them. Class: a sign of an end is taken for completeness.

Change: such an answer is complete only if the whole request was sent before it ended, and no reset follows within 0.1 s of its end; otherwise it broke off (502, or the caller's connection breaks if a part was passed on). This holds for the product's own pipeline, the store's answers and the gateway, which share the connection. An answer with a length is as before.

An upstream that rejects a long body early without a length and closes gives its caller a 502 as well: what it sent cannot be told from a part.

--- a/teaselquay/gateway/_call.py
+++ b/teaselquay/gateway/_call.py
@@ -198,7 +198,9 @@
 
     async def _send_and_read_answer(self) -> CallResult:
         assert self.connection is not None
-        self.connection.begin(self.exchange.method)
+        self.connection.begin(
+            self.exchange.method, is_streamed=self.exchange.has_body()
+        )
         self._sender = asyncio.create_task(self._send())
         head = await self._wait_for_head()
         if not self._answers_request(head):
@@ -251,6 +253,7 @@
         end = framer.end(self.body.received_bytes)
         if head or end:
             await self.connection.write(head + end)
+        self.connection.end_request()
 
     def _head(self, left_s: float) -> bytes:
         exchange = self.exchange
--- a/teaselquay/pipeline/_wire.py
+++ b/teaselquay/pipeline/_wire.py
@@ -37,7 +37,8 @@
         CallerGoneError: the caller disconnected before its body was complete.
         RefusedError: the request may no longer be sent.
     """
-    connection.begin(exchange.method)
+    is_streamed = not exchange.can_replay()
+    connection.begin(exchange.method, is_streamed)
     remaining_s = exchange.deadline - parts.now()
     if remaining_s <= 0:
         raise RefusedError(
@@ -49,7 +50,7 @@
         raise refuse(ProblemKind.STALE_CONFIGURATION)
     exchange.run_state = Run.UNKNOWN
     head = request_head(exchange, _header_fields(exchange, remaining_s))
-    if exchange.can_replay():
+    if not is_streamed:
         await connection.write(head + exchange.body)
         return
     try:
@@ -74,6 +75,7 @@
     end = framer.end(exchange.received_body_bytes)
     if end:
         await connection.write(end)
+    connection.end_request()
 
 
 def _header_fields(exchange: Exchange, remaining_s: float) -> Iterator[Header]:
--- a/teaselquay/shells/_http.py
+++ b/teaselquay/shells/_http.py
@@ -33,6 +33,9 @@
 _FIRST_FINAL_STATUS = 200
 _SWITCHING_PROTOCOLS = 101
 _TCP_USER_TIMEOUT_MS = 15_000
+#: Time in seconds after the end of an answer without a length in which a reset
+#: of its connection still shows that it broke off.
+_RESET_WAIT_S = 0.1
 
 
 class ExchangeError(Exception):
@@ -94,6 +97,9 @@
         self._keep_alive = False
         self._is_head_request = False
         self._reads_until_close = False
+        self._is_request_written = True
+        #: Whether the sender of an answer without a length has ended it.
+        self._has_ended = False
         self._error: ExchangeError | None = None
         self._closed = False
 
@@ -133,8 +139,11 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def begin(self, method: str) -> None:
-        """Start an exchange for a request with `method`."""
+    def begin(self, method: str, is_streamed: bool = False) -> None:
+        """Start an exchange for a request with `method`.
+
+        If it `is_streamed`, `end_request` follows its last part.
+        """
         self._parser = httptools.HttpResponseParser(self)
         self._headers = []
         self._head = asyncio.get_running_loop().create_future()
@@ -144,6 +153,8 @@
         self._complete = False
         self._keep_alive = False
         self._reads_until_close = False
+        self._is_request_written = not is_streamed
+        self._has_ended = False
         self._is_head_request = method == 'HEAD'
         self._error = None
         self.sent = False
@@ -163,6 +174,10 @@
             if self._closed:
                 raise self._error or BrokenAnswerError('connection lost')
 
+    def end_request(self) -> None:
+        """Record that the last part of a streamed request was written."""
+        self._is_request_written = True
+
     async def read_head(self) -> AnswerHead:
         """Return the head of the answer.
 
@@ -257,18 +272,31 @@
             self._transport.pause_reading()
 
     def eof_received(self) -> bool:
-        """Complete an answer whose body ends with the connection."""
-        if self._reads_until_close and not self._complete:
-            self._keep_alive = False
-            self._complete = True
-            self._body_changed.set()
-        return False
+        """Complete an answer whose body ends with the connection.
+
+        It breaks off if its sender did not wait for the whole request, or if
+        a reset follows. Return whether the connection stays open to see that.
+        """
+        if not self._reads_until_close or self._complete:
+            return False
+        self._keep_alive = False
+        if not self._has_sent_request():
+            self._fail('it ended before the request was sent')
+            return False
+        self._has_ended = True
+        loop = asyncio.get_running_loop()
+        loop.call_later(_RESET_WAIT_S, self._finish_unless_reset)
+        return True
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the exchange unless its answer is complete."""
         self._closed = True
         self._writable.set()
-        if not self._complete:
+        if self._complete:
+            return
+        if self._has_ended and exc is None:
+            self._finish()
+        else:
             self._fail('the connection was lost')
 
     def pause_writing(self) -> None:
@@ -340,6 +368,24 @@
         """Return whether the head was read, so that fields are trailers."""
         return self._head is not None and self._head.done()
 
+    def _has_sent_request(self) -> bool:
+        """Return whether the kernel has taken the whole request."""
+        transport = self._transport
+        is_buffered = transport and transport.get_write_buffer_size()
+        return self._is_request_written and not is_buffered
+
+    def _finish_unless_reset(self) -> None:
+        """Complete an answer whose sender has ended, or fail it."""
+        if self._complete or self._closed or self._transport is None:
+            return
+        raw = self._transport.get_extra_info('socket')
+        error = raw.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error:
+            self._fail(f'the connection was reset after its end: {error}')
+            return
+        self._finish()
+        self.close()
+
     def _finish(self) -> None:
         self._complete = True
         self._body_changed.set()
