Fail an answer at once whose status no answer has

Cause: only what lies below 200 was looked at; the server of callers cannot write statuses over 599.

Change: a status outside of 100 to 599, or 101, which no request asks for, makes the answer a broken one: 502 at once, or another attempt where it may be sent again.

--- a/teaselquay/shells/_http.py
+++ b/teaselquay/shells/_http.py
@@ -32,6 +32,8 @@
 _NO_BODY_STATUSES = frozenset((204, 304))
 _FIRST_FINAL_STATUS = 200
 _SWITCHING_PROTOCOLS = 101
+#: Statuses that an answer can have; no request asks for another protocol.
+_STATUSES = frozenset(range(100, 600)) - {_SWITCHING_PROTOCOLS}
 _TCP_USER_TIMEOUT_MS = 15_000
 #: Time in seconds after the end of an answer without a length in which a reset
 #: of its connection still shows that it broke off.
@@ -326,7 +328,9 @@
             return
         assert self._parser is not None
         status = self._parser.get_status_code()
-        if status < _FIRST_FINAL_STATUS and status != _SWITCHING_PROTOCOLS:
+        if status not in _STATUSES:
+            self._fail(f'no answer has the status {status}')
+        if self._error is not None or status < _FIRST_FINAL_STATUS:
             return
         self._keep_alive = self._parser.should_keep_alive()
         self._reads_until_close = self._body_ends_at_close(status)
--- a/tests/unit/test_incomplete_answers.py
+++ b/tests/unit/test_incomplete_answers.py
@@ -1,4 +1,4 @@
-"""Answers that break off do not look complete."""
+"""Answers that break off, or whose status is none, do not look complete."""
 
 import asyncio
 import socket
@@ -13,6 +13,7 @@
     Received,
     ScriptedUpstream,
     configuration,
+    replies,
     run_with,
 )
 
@@ -93,3 +94,53 @@
 
     config = configuration(RouteKind.NON_IDEMPOTENT)
     run_with(config, [_ends_early(None)], check)
+
+
+@pytest.mark.parametrize(
+    'status', ['000', '001', '099', '101', '600', '700', '999']
+)
+def test_answer_whose_status_is_none_is_a_failure_at_once(status: str):
+    """Its connection stays open, as that of a faulty upstream may."""
+
+    async def handle(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        received: Received,
+    ) -> None:
+        fields = 'content-length: 4\r\n'
+        writer.write(_head(received, status, fields) + b'body')
+
+    async def check(gateway: Gateway, _: Upstreams) -> None:
+        async with asyncio.timeout(1):
+            assert await _status_of(gateway, 'POST', b'') == 502
+
+    config = configuration(RouteKind.NON_IDEMPOTENT)
+    run_with(config, [handle], check)
+
+
+@pytest.mark.parametrize('status', ['200 OK', '299 Own', '599 Own'])
+def test_last_valid_statuses_are_passed_on(status: str):
+    async def check(gateway: Gateway, _: Upstreams) -> None:
+        answered, _, content = await gateway.ask('POST')
+        assert (answered, content) == (int(status[:3]), b'body')
+
+    config = configuration(RouteKind.NON_IDEMPOTENT)
+    run_with(config, [replies(b'body', status)], check)
+
+
+def test_interim_answers_are_not_passed_on():
+    async def handle(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        received: Received,
+    ) -> None:
+        for status in ('100', '103', '199'):
+            writer.write(_head(received, status))
+        fields = 'content-length: 2\r\n'
+        writer.write(_head(received, '200', fields) + b'ok')
+
+    async def check(gateway: Gateway, _: Upstreams) -> None:
+        status, _, content = await gateway.ask('POST')
+        assert (status, content) == (200, b'ok')
+
+    run_with(configuration(RouteKind.NON_IDEMPOTENT), [handle], check)
