--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -1,8 +1,8 @@
 """The promises, checked against what callers and upstreams saw."""
 
-from collections import Counter
+from collections import Counter, defaultdict
 from dataclasses import dataclass
-from typing import Callable, Iterator
+from typing import Callable, Iterable, Iterator
 
 from soak._plan import RECOVER_S
 from soak._records import Call, Record, Run, Span
@@ -20,6 +20,10 @@
 _OVERSHOOT = 0.1
 _SLACK = 20
 LIMIT_WINDOW_S = 4.0
+#: Time in seconds after which a rest that an upstream asked for binds, and the
+#: requests that may arrive in it all the same.
+_REST_SLACK_S = 0.5
+_REST_ARRIVALS = 2
 #: Limits of one process on the users' smallest VMs.
 _MOST_MB = 200
 _MOST_FILES = 4100
@@ -127,6 +131,29 @@
                 break
 
 
+@check('rests')
+def _rests(record: Record) -> Iterator[str]:
+    vm_of = {call.request: call.vm for call in record.calls}
+    arrivals: defaultdict[tuple[str, int | None], list[float]]
+    arrivals = defaultdict(list)
+    for each in (*record.runs, *record.rejections):
+        arrivals[each.upstream, vm_of.get(each.request)].append(each.at_s)
+    for rejection in record.rejections:
+        vm = vm_of.get(rejection.request)
+        rest = Span(rejection.at_s + _REST_SLACK_S, rejection.until_s)
+        count = sum(map(rest.holds, arrivals[rejection.upstream, vm]))
+        harmed = record.vm_harmed.get(vm or 0, ())
+        if count > _REST_ARRIVALS and not _overlaps(rest, harmed):
+            yield f'{count} requests of VM {vm} at {rejection.upstream}'
+
+
+def _overlaps(span: Span, harmed: Iterable[Span]) -> bool:
+    return any(
+        harm.begin_s <= span.end_s and span.begin_s <= harm.end_s
+        for harm in harmed
+    )
+
+
 @check('withdrawn keys')
 def _withdrawn_keys(record: Record) -> Iterator[str]:
     for call in record.calls:
--- a/soak/_links.py
+++ b/soak/_links.py
@@ -25,6 +25,7 @@
     drops_back: bool = False
     drips: bool = False
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
+    _severed: set[asyncio.StreamWriter] = field(default_factory=set)
 
     def close(self) -> None:
         """Listen no more, and reset what is open."""
@@ -36,6 +37,10 @@
         for writer in tuple(self._writers):
             writer.transport.abort()
 
+    def sever(self) -> None:
+        """Pass nothing more on the open connections, and close none."""
+        self._severed |= self._writers
+
     async def serve(
         self,
         reader: asyncio.StreamReader,
@@ -59,9 +64,13 @@
             for open_writer in both:
                 open_writer.transport.abort()
         finally:
-            self._writers -= both
-            for open_writer in both:
-                open_writer.close()
+            self._forget(both)
+
+    def _forget(self, both: set[asyncio.StreamWriter]) -> None:
+        self._writers -= both
+        self._severed -= both
+        for writer in both:
+            writer.close()
 
     async def _pump(
         self,
@@ -74,7 +83,7 @@
                 await asyncio.sleep(_DRIP_PAUSE_S)
             if self.delay_s:
                 await asyncio.sleep(self.delay_s)
-            if is_back and self.drops_back:
+            if is_back and self.drops_back or writer in self._severed:
                 continue
             await self._write(writer, part)
         writer.close()
--- a/soak/_plan.py
+++ b/soak/_plan.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum
 from random import Random
+from typing import Sequence
 
 #: Time without faults at the start and at the end, in seconds: the first
 #: for the fleet to settle, the last for it to recover.
@@ -40,6 +41,8 @@
     SPELL = 'spell'
     HANG = 'hang'
     LIMIT = 'limit'
+    LINK_SEVERED = 'link-severed'
+    REST = 'rest'
 
 
 class Link(Enum):
@@ -49,6 +52,13 @@
     STORE = 'store'
 
 
+#: Faults that are drawn apart, so that the others stay as they were for a seed.
+_DRAWN_APART = (Fault.LINK_SEVERED, Fault.REST)
+_DRAWN_TOGETHER = tuple(each for each in Fault if each not in _DRAWN_APART)
+#: Mean times in seconds between the faults of both groups.
+_GAP_S = 0.7
+_GAP_APART_S = 3.0
+
 #: Faults that leave no trace after their end. The others are acts.
 LASTING = frozenset(
     (
@@ -68,6 +78,7 @@
         Fault.SPELL,
         Fault.HANG,
         Fault.LIMIT,
+        Fault.REST,
     ),
 )
 
@@ -98,11 +109,25 @@
 
     About one begins each 0.7 s; they overlap, and a fifth comes in series.
     """
-    random = Random(seed)
+    places = vms * upstreams
+    steps = [
+        *_draw(Random(seed), _DRAWN_TOGETHER, _GAP_S, seconds, places),
+        *_draw(Random(-seed - 1), _DRAWN_APART, _GAP_APART_S, seconds, places),
+    ]
+    return sorted(steps, key=lambda step: step.at_s)
+
+
+def _draw(
+    random: Random,
+    faults: Sequence[Fault],
+    gap_s: float,
+    seconds: float,
+    places: int,
+) -> list[Step]:
     steps: list[Step] = []
     at_s = SETTLE_S
     while at_s < seconds - RECOVER_S:
-        fault = random.choice(list(Fault))
+        fault = random.choice(faults)
         for_s = random.uniform(0.2, 3) if fault in LASTING else 0
         if fault is Fault.LIMIT:
             for_s += MIN_LIMIT_S
@@ -110,7 +135,7 @@
         step = Step(
             round(at_s, 3),
             fault,
-            random.randrange(vms * upstreams),
+            random.randrange(places),
             round(for_s, 3),
             random.choice(list(Link)),
         )
@@ -119,8 +144,8 @@
             later_s = step.at_s + index * random.uniform(0.1, 0.4)
             if later_s < seconds - RECOVER_S:
                 steps.append(_moved(step, round(later_s, 3), index))
-        at_s += random.expovariate(1 / 0.7)
-    return sorted(steps, key=lambda step: step.at_s)
+        at_s += random.expovariate(1 / gap_s)
+    return steps
 
 
 def _moved(step: Step, at_s: float, by: int) -> Step:
--- a/soak/_records.py
+++ b/soak/_records.py
@@ -44,6 +44,16 @@
     carries_key: bool = False
 
 
+@dataclass(frozen=True)
+class Rejection:
+    """One request that an upstream turned away, asking for rest until then."""
+
+    request: str
+    upstream: str
+    at_s: float
+    until_s: float
+
+
 @dataclass(frozen=True)
 class Span:
     """A time in which something was true."""
@@ -62,6 +72,7 @@
 
     calls: list[Call] = field(default_factory=list)
     runs: list[Run] = field(default_factory=list)
+    rejections: list[Rejection] = field(default_factory=list)
     #: Times in which the store was harmed, or a VM's way to it.
     store_harmed: list[Span] = field(default_factory=list)
     #: The same for each VM itself: its links, its process, its peers.
--- a/soak/_standins.py
+++ b/soak/_standins.py
@@ -7,7 +7,7 @@
 from random import Random
 from typing import Any, Callable
 
-from soak._records import Run
+from soak._records import Rejection, Run
 from teaselquay.platform._decoding import VM_KEY_PREFIX
 from tests.standins.platform_store import PlatformStoreStandIn
 from tests.support.gateway import Received, ScriptedUpstream, answer
@@ -76,11 +76,15 @@
     service: str
     random: Random
     note: Callable[[Run], None]
+    reject: Callable[[Rejection], None]
     now: Callable[[], float]
     is_in_spell: bool = False
     hangs: bool = False
     #: Requests per second that it names as its limit; 0 names none.
     limit: float = 0
+    #: Seconds of rest that it asks for as it turns requests away; 0 if it
+    #: takes them.
+    rest_s: float = 0
     #: Whether its answers say that it leaves.
     is_leaving: bool = False
     started_ms: int = 1
@@ -122,6 +126,9 @@
             writer.write(answer(received, status='421 Misdirected'))
             return
         request = received.headers.get('x-request-id', '')
+        if self.rest_s:
+            await self._turn_away(reader, writer, received)
+            return
         team = received.headers.get('x-tenant', '')
         carries_key = 'x-key' in received.headers
         self.note(Run(request, self.name, team, self.now(), carries_key))
@@ -135,6 +142,20 @@
         await asyncio.sleep(work_s)
         writer.write(self._stamped(received, body_of(request, body), '200 OK'))
 
+    async def _turn_away(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        received: Received,
+    ) -> None:
+        request = received.headers.get('x-request-id', '')
+        now = self.now()
+        self.reject(Rejection(request, self.name, now, now + self.rest_s))
+        length = int(received.headers.get('content-length', 0))
+        await reader.readexactly(length)
+        fields = {'x_not_executed': '1', 'retry_after': str(self.rest_s)}
+        writer.write(answer(received, b'', '503 Busy', **fields))
+
     def _stamped(self, received: Received, body: bytes, status: str) -> bytes:
         return answer(
             received,
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -25,6 +25,8 @@
 _DELAY_S = 0.3
 _PEER_LOSS = 0.3
 _MEASURE_S = 0.5
+#: Shortest rest that an upstream asks for, in seconds.
+_MIN_REST_S = 1.0
 #: How long the store is away before it is restored, and how much later the
 #: operators and upstreams write theirs again, in seconds.
 _RESTORE_S = 0.3
@@ -127,8 +129,14 @@
 
     async def _open_upstream(self, name: str, service: str) -> None:
         random = Random(self._random.getrandbits(_SEED_BITS))
-        note = self.record.runs.append
-        upstream = SoakUpstream(name, service, random, note, self.now)
+        upstream = SoakUpstream(
+            name,
+            service,
+            random,
+            self.record.runs.append,
+            self.record.rejections.append,
+            self.now,
+        )
         await upstream.server.start()
         self.upstreams.append(upstream)
         await self.publish(upstream)
@@ -209,6 +217,13 @@
     spans.append(Span(world.now(), world.now()))
 
 
+@act(Fault.LINK_SEVERED)
+async def _sever_link(world: World, step: Step) -> None:
+    link, spans = _link_of(world, step)
+    link.sever()
+    spans.append(Span(world.now(), world.now()))
+
+
 def _link_of(world: World, step: Step) -> tuple[TcpLink, list[Span]]:
     """Return the link of `step`, and where its harm is noted."""
     if step.link is Link.STORE:
@@ -359,6 +374,15 @@
     setattr(upstream, name, False)
 
 
+@act(Fault.REST)
+async def _ask_for_rest(world: World, step: Step) -> None:
+    """Turn requests away, and ask each VM for some of the time that is left."""
+    upstream = world.upstream_of(step)
+    upstream.rest_s = max(_MIN_REST_S, step.for_s)
+    await asyncio.sleep(step.for_s)
+    upstream.rest_s = 0
+
+
 @act(Fault.LIMIT)
 async def _name_limit(world: World, step: Step) -> None:
     upstream = world.upstream_of(step)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -7,7 +7,7 @@
 from soak.__main__ import run_seed
 from soak._checks import DRAIN_S, GRACE_S, REVOKE_S, violations
 from soak._plan import RECOVER_S, SETTLE_S, Fault, make_plan
-from soak._records import Call, Kind, Record, Run, Span
+from soak._records import Call, Kind, Record, Rejection, Run, Span
 from soak._world import ACTS
 
 #: Seeds that ever broke a promise, each with its cause.
@@ -74,6 +74,13 @@
         [_run(f'l{index}', 20 + index / 4) for index in range(12)],
         limits=[('s-0', 1.0, Span(10, 30))],
     ),
+    'rests': _record(
+        [_call(f'r{index}') for index in range(4)],
+        [],
+        rejections=[
+            Rejection(f'r{index}', 's-0', 20 + index, 30) for index in range(4)
+        ],
+    ),
     'withdrawn keys': _record(
         [_call('a', key='gone-0', sent_s=_LATE_S)],
         [_run('a', _LATE_S)],
