Add mutations of the mended mechanisms

All eight are noticed: three of the rest that upstreams ask for, three of incomplete answers, one of idle connections to the store and one of successors that look at once. Two tests have shorter names.

--- a/tests/support/gateway_mutations.py
+++ b/tests/support/gateway_mutations.py
@@ -3,6 +3,71 @@
 from tests.support.mutation import Mutation
 
 GATEWAY_MUTATIONS = (
+    Mutation(
+        'unit/test_requested_rest.py',
+        'an upstream that asked for rest is not chosen',
+        'gateway/_dispatch.py',
+        'avoided |= self.parts.resting_names(context.service)',
+        'avoided |= frozenset()',
+        'test_request_is_refused_at_once_if_all_rest_beyond_its_deadline',
+    ),
+    Mutation(
+        'unit/test_requested_rest.py',
+        'a request for rest is recorded',
+        'gateway/_call.py',
+        'if rest_s > 0:',
+        'if False:',
+        'test_upstreams_get_no_requests_while_they_rest',
+    ),
+    Mutation(
+        'unit/test_requested_rest.py',
+        'an upstream is looked at again before it gets a request',
+        'gateway/_call.py',
+        'if not self.may_send(self.target.upstream.name):',
+        'if False:',
+        'test_upstream_that_asked_for_rest_while_its_connection_was_opened',
+    ),
+    Mutation(
+        'unit/test_incomplete_answers.py',
+        'an answer without length ends after its request',
+        'shells/_http.py',
+        'if not self._has_sent_request():',
+        'if False:',
+        'test_answer_that_ends_before_the_request_was_sent_is_not_complete',
+    ),
+    Mutation(
+        'unit/test_incomplete_answers.py',
+        'a reset shows that an answer broke off',
+        'shells/_http.py',
+        'error = raw.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)',
+        'error = 0',
+        'test_answer_that_is_reset_after_its_end_is_not_complete',
+    ),
+    Mutation(
+        'unit/test_incomplete_answers.py',
+        'an answer has a valid status',
+        'shells/_http.py',
+        'if status not in _STATUSES:',
+        'if False:',
+        'test_answer_whose_status_is_none_is_a_failure_at_once',
+    ),
+    Mutation(
+        'platform/test_store.py',
+        'idle connections to the store are not used',
+        'shells/_json_client.py',
+        'ConnectionPool(MAX_IDLE_S)',
+        'ConnectionPool(60.0)',
+        'test_read_after_a_silence_does_not_use_a_dead_connection',
+    ),
+    Mutation(
+        'unit/test_replication.py',
+        'several VMs look if the store answers them',
+        'fleet/_replication.py',
+        'elif self.directory.is_reader_successor(now):',
+        'elif False:',
+        'test_changes_are_in_force_in_time_while_'
+        'the_watches_of_all_readers_hang',
+    ),
     Mutation(
         'unit/test_body_memory.py',
         'the sum of the bodies that are held is bounded',
--- a/tests/unit/test_incomplete_answers.py
+++ b/tests/unit/test_incomplete_answers.py
@@ -77,7 +77,7 @@
 
 
 @pytest.mark.parametrize('resets_after_s', [0.0, 0.05])
-def test_answer_whose_connection_is_reset_after_its_end_is_not_complete(
+def test_answer_that_is_reset_after_its_end_is_not_complete(
     resets_after_s: float,
 ):
     async def check(gateway: Gateway, _: Upstreams) -> None:
--- a/tests/unit/test_requested_rest.py
+++ b/tests/unit/test_requested_rest.py
@@ -108,7 +108,7 @@
     run_with(config, [_rests_once(0.5)], check)
 
 
-def test_request_is_refused_at_once_if_all_upstreams_rest_beyond_its_deadline():
+def test_request_is_refused_at_once_if_all_rest_beyond_its_deadline():
     async def check(gateway: Gateway, _: Upstreams) -> None:
         await gateway.ask('POST', body=b'x')
         loop = asyncio.get_running_loop()
