--- a/teaselquay/gateway/_dispatch.py
+++ b/teaselquay/gateway/_dispatch.py
@@ -29,6 +29,7 @@
     deadline_problem,
     placement_problem,
 )
+from teaselquay.gateway._statements import shown
 from teaselquay.pipeline import CallerGoneError
 from teaselquay.shells import AnswerHead
 
@@ -43,8 +44,6 @@
 #: unreachable or stale, or its upstream left. They do not count towards the
 #: maximum of the route.
 _MAX_UNSENT_ATTEMPTS = 4
-#: Bytes of a header field that a log line shows.
-_MAX_SHOWN_BYTES = 40
 #: Outcomes of attempts that ended before anything was sent.
 _UNSENT_OUTCOMES = frozenset((Outcome.UNREACHABLE, Outcome.CANCELLED))
 _ANSWERED_OUTCOMES = frozenset((Outcome.SERVED, Outcome.FAILED, Outcome.SHED))
@@ -586,7 +585,7 @@
 def _shown_field(head: AnswerHead | None, name: bytes) -> str | None:
     """Return the start of the field `name` for a log line, if there is one."""
     text = head.field(name) if head else None
-    return None if text is None else text[:_MAX_SHOWN_BYTES].decode('latin-1')
+    return None if text is None else shown(text)
 
 
 def _placement_fields(placement: Placement) -> dict[str, object]:
--- a/teaselquay/gateway/_statements.py
+++ b/teaselquay/gateway/_statements.py
@@ -67,7 +67,7 @@
         return False
     is_leaving = _LEAVING_BY_TEXT.get(text)
     if is_leaving is None:
-        raise StatementError(f'neither 0 nor 1: {_shown(text)}')
+        raise StatementError(f'neither 0 nor 1: {shown(text)}')
     return is_leaving
 
 
@@ -76,7 +76,7 @@
     if text is None:
         return None
     if _DECIMAL.fullmatch(text) is None:
-        raise StatementError(f'not a decimal number: {_shown(text)}')
+        raise StatementError(f'not a decimal number: {shown(text)}')
     return float(text)
 
 
@@ -92,5 +92,6 @@
     return values.pop() if values else None
 
 
-def _shown(text: bytes) -> str:
+def shown(text: bytes) -> str:
+    """Return the start of a field's value, for errors and log lines."""
     return text[:_MAX_SHOWN_BYTES].decode('latin-1')
