--- a/tests/unit/test_request_bodies.py
+++ b/tests/unit/test_request_bodies.py
@@ -259,6 +259,7 @@
             SystemClock(),
             lambda _: True,
             lambda _: None,
+            lambda *_: None,
             Connection(),
         )
         connection = call.connection
