Tell other VMs of each failed read that they rely on

Cause: a VM told others of a loss once. Ten seconds later they take it for a reader again, and if it was lost already, it failed in silence for up to 0.5 s. With more VMs that have looked, more of these follow each other.

Change: a reader, or a VM that looks, tells each failure, once for each call.

--- a/teaselquay/fleet/_replication.py
+++ b/teaselquay/fleet/_replication.py
@@ -386,15 +386,16 @@
         They would otherwise learn of it from the silence of this VM.
         """
         is_responsible = self._is_probing or self._is_zone_reader()
+        # An overdue call fails once more when it ends.
+        self._is_probing = False
         self.directory.record_store_failure(self.record.name, self.clock.now())
-        if self._is_store_lost:
-            return
-        self._is_store_lost = True
-        self.journal.emit(
-            Event.STORE_LOST,
-            reason=reason,
-            **self._position(),
-        )
+        if not self._is_store_lost:
+            self._is_store_lost = True
+            self.journal.emit(
+                Event.STORE_LOST,
+                reason=reason,
+                **self._position(),
+            )
         if is_responsible:
             self._broadcaster.broadcast_freshness(self.replica.revision)
 
