--- a/teaselquay/gateway/_dispatch.py
+++ b/teaselquay/gateway/_dispatch.py
@@ -213,8 +213,10 @@
         Load pattern: all upstreams of a service turn requests away. Nothing
         is sent to find out whether they still do.
         """
+        if refusal.reason is not RefusalReason.NO_UPSTREAM:
+            return refusal
         left_s = self.parts.rest_left_s(self.context.service)
-        if refusal.reason is not RefusalReason.NO_UPSTREAM or left_s is None:
+        if left_s is None:
             return refusal
         return PlacementRefusal(
             RefusalReason.RESTING, left_s, self.parts.settings.vm
