--- /dev/null
+++ b/review/stage/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and processes for the scripts of this review."""
